--- /dev/null
+++ b/src/bookkeeping/jobs.ts
@@ -0,0 +1,82 @@
+import { type JobSpec, type MachineType, priorityRank } from "../protocol/model.js";
+import type { Machine } from "./machines.js";
+import { TaskSet } from "./task-set.js";
+
+export type AttemptPhase = "assigned" | "sent" | "fetching" | "running" | "saving";
+
+/** One try at one task, from the decision to start it until it is proved over. */
+export interface Attempt {
+	job: Job;
+	index: number;
+	number: number;
+	machine: Machine;
+	phase: AttemptPhase;
+	decidedAt: number;
+	/** When it was first reported running, by the steady clock of this process. */
+	runningAt: number | null;
+	/** A stop was decided; it is repeated until the attempt is over. */
+	stop: { graceS: number; why: string } | null;
+}
+
+/** A live job as its leader sees it. */
+export class Job {
+	readonly done: TaskSet;
+	/** The part of `done` that the store has confirmed. */
+	readonly durable: TaskSet;
+	readonly attempts = new Map<number, Attempt>();
+	readonly waiting: number[] = [];
+	/** Set once the record that ends the job is being written. */
+	ending = false;
+	cancelled = false;
+	dirty = false;
+	writtenAt = -Infinity;
+	finishedRuns = 0;
+	finishedSeconds = 0;
+	/** Machines on which tasks of this job failed since one last succeeded. */
+	readonly failedOn = new Set<string>();
+	failures = 0;
+	notBefore = 0;
+
+	constructor(
+		readonly id: string,
+		readonly spec: JobSpec,
+		readonly at: number,
+		readonly revision: number,
+	) {
+		this.done = new TaskSet(spec.tasks);
+		this.durable = new TaskSet(spec.tasks);
+	}
+
+	/** Tasks neither done nor on a machine, lowest number first. */
+	fillWaiting(): void {
+		this.waiting.length = 0;
+		for (let i = this.spec.tasks - 1; i >= 0; i--) {
+			if (!this.done.has(i) && !this.attempts.has(i)) this.waiting.push(i);
+		}
+	}
+
+	/** Estimated run time of a task: mean of those finished, else the stated one. */
+	get estimateS(): number {
+		return this.finishedRuns > 0 ? this.finishedSeconds / this.finishedRuns : this.spec.estimateS;
+	}
+
+	/** Failing wherever it goes: tried again now and then, and kept out of the load. */
+	get doomed(): boolean {
+		return this.failedOn.size >= 3;
+	}
+
+	get rank(): number {
+		return priorityRank[this.spec.priority];
+	}
+}
+
+/** Whether a task of the job could ever run on this type, going by the job's own demands. */
+export function typeFits(spec: JobSpec, type: MachineType): boolean {
+	return (
+		(spec.types === null || spec.types.includes(type.name)) &&
+		(spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
+		type.cpus >= spec.cpus &&
+		type.gpus >= spec.gpus &&
+		type.memoryGb >= spec.memoryGb
+	);
+}
--- /dev/null
+++ b/src/bookkeeping/machines.ts
@@ -0,0 +1,134 @@
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Attempt } from "./jobs.js";
+
+/** A rented machine as its leader sees it. */
+export class Machine {
+	endpoint = "";
+	session = 0;
+	seq = -1;
+	/** Reports of sessions below this are of a lease that has certainly expired. */
+	leastSession = 0;
+	/** Its record is in the store, so a later leader knows that tasks may be here. */
+	durable = false;
+	writing = false;
+	/** It has reported since this leader's token reached it. */
+	confirmed = false;
+	/** It may hold tasks of an earlier leader that nobody has listed yet. */
+	hidden = false;
+	up = false;
+	/** Its lease expired unanswered. */
+	lost = false;
+	/** Steady time: rented, last report, last answer that may have renewed its lease. */
+	rentedAt: number;
+	reportedAt = -Infinity;
+	answeredAt: number;
+	/** Marked by the hill climb to drain and go back. */
+	marked = false;
+	/** Set aside as faulty, sick or slow. */
+	faulty = false;
+	/** Once a return was requested, nothing starts here any more, whatever the answer. */
+	returning = false;
+	/** Known from a list alone: no request of this leader and no report names it. */
+	onlyListed = false;
+	/** Steady time at which the cloud takes it away. */
+	takenAt: number | null = null;
+	readonly attempts = new Map<string, Attempt>();
+	usedCpus = 0;
+	usedGpus = 0;
+	usedMemory = 0;
+	/** Images that it should have, latest last. */
+	readonly images = new Set<string>();
+	readonly failedJobs = new Set<string>();
+	/** After a failure only one task at a time is risked until one succeeds. */
+	suspect = false;
+	/** Exited attempts that it still lists. */
+	exited: { job: string; index: number; attempt: number; done: boolean }[] = [];
+	/** Attempts that it lists and that nobody wants. */
+	unwanted: { job: string; index: number; attempt: number }[] = [];
+
+	constructor(
+		readonly id: string,
+		readonly type: MachineType,
+		readonly zone: string,
+		readonly spot: boolean,
+		now: number,
+	) {
+		this.rentedAt = now;
+		this.answeredAt = now;
+	}
+
+	/** May new tasks be placed here? */
+	get open(): boolean {
+		return (
+			this.up &&
+			this.confirmed &&
+			this.durable &&
+			!this.lost &&
+			!this.marked &&
+			!this.faulty &&
+			!this.returning &&
+			this.takenAt === null
+		);
+	}
+
+	/** Counts as capacity that is there or on its way. */
+	get counts(): boolean {
+		return !this.lost && !this.marked && !this.faulty && !this.returning && this.takenAt === null;
+	}
+
+	get freeCpus(): number {
+		return this.type.cpus - this.usedCpus;
+	}
+	get freeGpus(): number {
+		return this.type.gpus - this.usedGpus;
+	}
+	get freeMemory(): number {
+		return this.type.memoryGb - this.usedMemory;
+	}
+
+	hold(key: string, attempt: Attempt): void {
+		const { spec } = attempt.job;
+		this.attempts.set(key, attempt);
+		this.usedCpus += spec.cpus;
+		this.usedGpus += spec.gpus;
+		this.usedMemory += spec.memoryGb;
+	}
+
+	release(key: string, attempt: Attempt): void {
+		if (this.attempts.get(key) !== attempt) return;
+		const { spec } = attempt.job;
+		this.attempts.delete(key);
+		if (this.attempts.size === 0) {
+			// Sums of decimals drift; an empty machine uses nothing.
+			this.usedCpus = 0;
+			this.usedGpus = 0;
+			this.usedMemory = 0;
+			return;
+		}
+		this.usedCpus -= spec.cpus;
+		this.usedGpus -= spec.gpus;
+		this.usedMemory -= spec.memoryGb;
+	}
+
+	/** Remembers an image, forgetting the least recently used beyond the cache's rough size. */
+	sawImage(image: string, most = 12): void {
+		this.images.delete(image);
+		this.images.add(image);
+		if (this.images.size > most) {
+			const oldest = this.images.values().next().value;
+			if (oldest !== undefined) this.images.delete(oldest);
+		}
+	}
+}
+
+/** Whether the job allows this machine at all. */
+export function machineAllowed(
+	spec: JobSpec,
+	machine: { type: MachineType; zone: string; spot: boolean },
+): boolean {
+	return (
+		(spec.types === null || spec.types.includes(machine.type.name)) &&
+		(spec.zone === null || spec.zone === machine.zone) &&
+		(spec.spot || !machine.spot)
+	);
+}
--- /dev/null
+++ b/src/coordination/controller.ts
@@ -0,0 +1,258 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import { keys, type TypesRecord } from "../bookkeeping/records.js";
+import { Replica } from "../bookkeeping/replica.js";
+import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
+import type { OperatorSettings } from "../protocol/operator.js";
+import { asPeerMessage } from "../protocol/peer.js";
+import type { PlatformSettings } from "../protocol/settings.js";
+import { FrontDesk } from "./front-desk.js";
+import { Leader } from "./leader.js";
+import { Leadership } from "./leadership.js";
+import { LocalCopy } from "./local-copy.js";
+import { Mailbox } from "./mailbox.js";
+import { placeFirstFit } from "./placing.js";
+import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+
+export interface ControllerPorts {
+	store: StorePort;
+	cloud: CloudPort;
+	workers: WorkerPort;
+	peers: PeerPort;
+	time: TimePort;
+	log: Log;
+	random: RandomGenerator;
+	schedule(run: () => void): void;
+}
+
+export type Reported =
+	| { kind: "orders"; token: number; orders: Order[] }
+	| { kind: "elsewhere"; node: string | null };
+
+const tickMs = 100;
+const typesEveryMs = 60_000;
+
+/** One controller: the owner of its process's state. */
+export class Controller {
+	readonly mailbox: Mailbox;
+	readonly replica = new Replica();
+	readonly desk: FrontDesk;
+	private readonly copy: LocalCopy;
+	private readonly leadership: Leadership;
+	private leader: Leader | null = null;
+	private starting: number | null = null;
+	private stopped = false;
+	private nextTypes = 0;
+	private fetchingTypes = false;
+	private prices: MachineType[] | null = null;
+	private running = new Map<string, number>();
+
+	constructor(
+		private readonly platform: PlatformSettings,
+		private readonly settings: OperatorSettings,
+		private readonly incarnation: string,
+		private readonly ports: ControllerPorts,
+	) {
+		const { store, time, log } = ports;
+		this.mailbox = new Mailbox(ports.schedule, (error) =>
+			log.error(
+				{ err: error instanceof Error ? (error.stack ?? error.message) : String(error) },
+				"command failed",
+			),
+		);
+		const post = (command: () => void) => this.mailbox.post(command);
+		this.copy = new LocalCopy(this.replica, store, time, post, log);
+		this.leadership = new Leadership(
+			platform.node,
+			incarnation,
+			{ ttlMs: settings.leadership.ttl_s * 1000, marginMs: settings.leadership.margin_s * 1000 },
+			store,
+			time,
+			post,
+			{ won: (epoch) => this.won(epoch), lost: (epoch, why) => this.lost(epoch, why) },
+			log,
+			() => uniformInt(ports.random, 0, 999) / 1000,
+		);
+		this.desk = new FrontDesk(
+			this.replica,
+			this.copy,
+			store,
+			time,
+			new Map(platform.cluster.teams.map((team) => [team.name, team])),
+			platform.cluster.state.value_kb,
+			(command) => this.mailbox.ask(command),
+			(id) => (this.leader ? this.leader.runningCount(id) : (this.running.get(id) ?? 0)),
+		);
+		this.replica.onChange((key) => this.changed(key));
+		this.mailbox.onBatchEnd(() => this.leader?.maybePlace());
+	}
+
+	start(): void {
+		this.copy.start();
+		this.scheduleTick();
+	}
+
+	stop(): void {
+		this.stopped = true;
+		this.copy.stop();
+		this.mailbox.post(() => this.leadership.resign("stopping"));
+	}
+
+	ready(): boolean {
+		return this.replica.loaded && this.replica.types !== null;
+	}
+
+	private scheduleTick(): void {
+		this.ports.time.after(tickMs, () => {
+			if (this.stopped) return;
+			this.mailbox.post(() => this.tick());
+			this.scheduleTick();
+		});
+	}
+
+	private tick(): void {
+		this.leadership.tick(this.replica.leader, this.replica.loaded);
+		if (this.leadership.authority() !== null) this.refreshTypes();
+		this.leader?.tick();
+	}
+
+	// --- leadership ---
+
+	private won(epoch: number): void {
+		this.ports.log.info({ epoch }, "leadership won");
+		this.starting = epoch;
+		this.beginTerm(epoch);
+	}
+
+	/** The term begins once the local copy holds everything from before the takeover. */
+	private beginTerm(epoch: number): void {
+		if (this.starting !== epoch || this.leadership.epoch !== epoch) return;
+		const types = this.prices ?? this.replica.types?.value ?? null;
+		if (types === null) {
+			this.ports.time.after(50, () => this.mailbox.post(() => this.beginTerm(epoch)));
+			return;
+		}
+		this.copy.fence().then(
+			() =>
+				this.mailbox.post(() => {
+					if (this.starting !== epoch || this.leadership.epoch !== epoch) return;
+					this.starting = null;
+					this.leader = new Leader(
+						epoch,
+						this.platform.node,
+						this.platform,
+						this.settings,
+						this.replica,
+						types,
+						{ ...this.ports, post: (command) => this.mailbox.post(command) },
+						() => this.leadership.authority() === epoch,
+						(why) => this.leadership.resign(why),
+						`${this.platform.node}-${this.incarnation}-${epoch}`,
+					);
+				}),
+			() => this.ports.time.after(100, () => this.mailbox.post(() => this.beginTerm(epoch))),
+		);
+	}
+
+	private lost(epoch: number, why: string): void {
+		this.ports.log.info({ epoch, why }, "leadership lost");
+		this.starting = null;
+		this.leader?.end();
+		this.leader = null;
+	}
+
+	// --- machine types ---
+
+	private refreshTypes(): void {
+		const now = this.ports.time.now();
+		if (this.fetchingTypes || now < this.nextTypes) return;
+		this.fetchingTypes = true;
+		this.ports.cloud.machineTypes().then(
+			(types) =>
+				this.mailbox.post(() => {
+					this.fetchingTypes = false;
+					if (types.length === 0) return;
+					this.nextTypes = this.ports.time.now() + typesEveryMs;
+					this.prices = types;
+					if (this.leader) for (const type of types) this.leader.tables.types.set(type.name, type);
+					this.keepTypes(types);
+				}),
+			(error) =>
+				this.mailbox.post(() => {
+					this.fetchingTypes = false;
+					this.nextTypes = this.ports.time.now() + 700;
+					this.ports.log.debug({ err: String(error) }, "machine types not read");
+				}),
+		);
+	}
+
+	/** Kept in the store, so that a starting node can check submissions without the cloud. */
+	private keepTypes(types: MachineType[]): void {
+		const epoch = this.leadership.authority();
+		if (epoch === null || sameTypes(this.replica.types?.value ?? [], types)) return;
+		const value: TypesRecord = { types };
+		this.ports.store
+			.transact([{ key: keys.leader, revision: epoch }], [{ put: keys.types, value }], "first")
+			.catch(() => this.mailbox.post(() => (this.nextTypes = 0)));
+	}
+
+	// --- what comes in ---
+
+	private changed(key: string): void {
+		if (key.startsWith(keys.jobs)) this.leader?.jobChanged(key.slice(keys.jobs.length));
+	}
+
+	report(report: WorkerReport): Promise<Reported> {
+		return this.mailbox.ask(async () => {
+			const epoch = this.leadership.authority();
+			if (epoch !== null && this.leader) {
+				const orders = await this.leader.report(report);
+				// Authority may have ended while the answer waited for places to be filled.
+				if (orders !== null && this.leadership.authority() === epoch)
+					return { kind: "orders", token: epoch, orders };
+				return { kind: "elsewhere", node: null };
+			}
+			const leader = this.replica.leader?.value.node ?? null;
+			return { kind: "elsewhere", node: leader === this.platform.node ? null : leader };
+		});
+	}
+
+	peerMessage(from: string, raw: unknown): void {
+		const message = asPeerMessage(raw);
+		if (!message) return;
+		this.mailbox.post(() => {
+			switch (message.kind) {
+				case "view": {
+					const placements = placeFirstFit(
+						message.machines,
+						message.grants,
+						(id) => this.replica.jobs.get(id)?.value.spec,
+						message.start,
+					);
+					this.ports.peers.send(from, {
+						kind: "placed",
+						epoch: message.epoch,
+						cycle: message.cycle,
+						placements,
+					});
+					break;
+				}
+				case "running":
+					this.running = new Map(message.counts);
+					break;
+				case "ping":
+					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch });
+					break;
+				default:
+					this.leader?.peerMessage(from, message);
+			}
+		});
+	}
+}
+
+/** Prices of spot machines move all the time; only what submissions depend on is compared. */
+function sameTypes(a: MachineType[], b: MachineType[]): boolean {
+	const shape = (types: MachineType[]) =>
+		JSON.stringify(types.map((t) => [t.name, t.cpus, t.gpus, t.memoryGb, t.bootS, t.zones]));
+	return shape(a) === shape(b);
+}
--- /dev/null
+++ b/src/coordination/fleet.ts
@@ -0,0 +1,412 @@
+import type { Job } from "../bookkeeping/jobs.js";
+import { Machine, machineAllowed } from "../bookkeeping/machines.js";
+import type { ListedMachine, MachineType } from "../protocol/model.js";
+import type { OperatorSettings } from "../protocol/operator.js";
+import type { RentRequest } from "../protocol/wire.js";
+import { CallFailed, type CloudPort, type Log, type TimePort } from "./ports.js";
+import {
+	type Counters,
+	climb,
+	loadOf,
+	machinesToCut,
+	type Offer,
+	offerKey,
+	offersFor,
+	rankOffers,
+	remainingOfRunning,
+	remainingOfWaiting,
+	tasksHeld,
+} from "./scaling.js";
+import type { Tables } from "./tables.js";
+
+export interface FleetHooks {
+	post(command: () => void): void;
+	authority(): boolean;
+	/** A machine is proved gone: its record may go, and its tasks wait again. */
+	gone(machine: Machine): void;
+}
+
+interface Rental {
+	request: RentRequest;
+	type: MachineType;
+	firstSentAt: number;
+}
+
+const goneKeptMs = 10 * 60_000;
+const rentalTriesMs = 60_000;
+
+/** Rents and returns machines: the hill climb and its exceptions. */
+export class Fleet {
+	private counters: Counters = { up: 0, down: 0 };
+	private readonly refusedUntil = new Map<string, number>();
+	private readonly goneAt = new Map<string, number>();
+	private rental: Rental | null = null;
+	private requestNumber = 0;
+	private listing = false;
+	private nextList = 0;
+	private listed = false;
+	private returning = false;
+	private nextReturn = 0;
+	private nextRound = 0;
+
+	constructor(
+		private readonly tables: Tables,
+		private readonly cloud: CloudPort,
+		private readonly time: TimePort,
+		private readonly settings: OperatorSettings,
+		private readonly listLagMs: number,
+		private readonly requestPrefix: string,
+		private readonly hooks: FleetHooks,
+		private readonly log: Log,
+	) {
+		// Machines that the leader before rented last are not listed yet: a first round
+		// before the first list would rent them again.
+		this.nextRound = time.now() + 500;
+	}
+
+	/** Called a few times a second, in the queue, with authority. */
+	tick(): void {
+		const now = this.time.now();
+		this.returns(now);
+		if (!this.listing && now >= this.nextList) this.list(now);
+		if (now >= this.nextRound && this.listed && this.tables.rebuilt) {
+			this.nextRound = now + this.settings.climb.round_s * 1000;
+			this.round(now);
+		}
+	}
+
+	// --- the hill climb ---
+
+	remainingWork(now: number): number {
+		const cap = this.settings.climb.cap_s;
+		let work = 0;
+		for (const job of this.tables.jobs.values()) {
+			// Work that fails wherever it goes must not rent machines.
+			if (job.doomed) continue;
+			const estimate = job.estimateS;
+			work += job.waiting.length * remainingOfWaiting(job.spec.cpus, estimate, cap);
+			for (const attempt of job.attempts.values()) work += remainingOf(attempt, now, estimate, cap);
+		}
+		return work;
+	}
+
+	/** Cores that the teams' limits let the present work use at once. */
+	usableCpus(): number {
+		const byTeam = new Map<string, number>();
+		for (const job of this.tables.jobs.values()) {
+			if (job.doomed) continue;
+			const tasks = job.waiting.length + job.attempts.size;
+			byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + tasks * job.spec.cpus);
+		}
+		let sum = 0;
+		for (const [team, cpus] of byTeam) sum += Math.min(cpus, this.tables.quotas.team(team)?.cpus_max ?? 0);
+		return sum;
+	}
+
+	private round(now: number): void {
+		const counted = [...this.tables.machines.values()].filter((m) => m.counts);
+		const cpus = counted.reduce((sum, m) => sum + m.type.cpus, 0);
+		const n = counted.length;
+		const work = this.remainingWork(now);
+		const oldest = this.oldestWaiting(now);
+		if (n === 0) {
+			if (!this.unmark()) this.rentFor(oldest, work, n, cpus, now);
+			return;
+		}
+		const unheld = this.unheldJob(counted, now);
+		if (unheld) {
+			this.rentFor(unheld, 0, n, cpus, now);
+			return;
+		}
+		const { counters, action } = climb(this.counters, loadOf(work, n), n, cpus / n, this.settings.climb);
+		this.counters = counters;
+		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action }, "round");
+		if (action === "up") {
+			if (!this.unmark() && oldest) this.rentFor(oldest, work, n, cpus, now);
+		} else if (action === "down") this.mark(counted, now);
+	}
+
+	/** The oldest job with waiting tasks that may run now, urgent ones first. */
+	private oldestWaiting(now: number): Job | null {
+		let best: Job | null = null;
+		for (const job of this.tables.jobs.values()) {
+			if (job.waiting.length === 0 || job.notBefore > now || job.doomed) continue;
+			if (!this.tables.quotas.fitsLimit(job.spec.team, job.spec.cpus, job.spec.gpus)) continue;
+			if (!best || job.at < best.at) best = job;
+		}
+		return best;
+	}
+
+	private unheldJob(counted: Machine[], now: number): Job | null {
+		for (const job of this.tables.jobs.values()) {
+			if (job.waiting.length === 0 || job.notBefore > now || job.doomed) continue;
+			const held = counted.some((m) => machineAllowed(job.spec, m) && tasksHeld(job.spec, m.type) > 0);
+			if (!held) return job;
+		}
+		return null;
+	}
+
+	private unmark(): boolean {
+		for (const machine of this.tables.machines.values()) {
+			if (machine.marked && !machine.returning && !machine.lost) {
+				machine.marked = false;
+				this.tables.changed = true;
+				this.log.info({ machine: machine.id }, "unmarked");
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/** Marks the machine with the least remaining work; of equals, the dearest. */
+	private mark(counted: Machine[], now: number): void {
+		const cap = this.settings.climb.cap_s;
+		let best: Machine | null = null;
+		let least = Number.POSITIVE_INFINITY;
+		for (const machine of counted) {
+			let work = 0;
+			for (const a of machine.attempts.values()) work += remainingOf(a, now, a.job.estimateS, cap);
+			const dearer = best !== null && work === least && hourly(machine) > hourly(best);
+			if (work < least || dearer) {
+				best = machine;
+				least = work;
+			}
+		}
+		if (!best) return;
+		best.marked = true;
+		this.log.info({ machine: best.id, work: Math.round(least) }, "marked to drain and return");
+	}
+
+	private rentFor(job: Job | null, work: number, n: number, cpus: number, now: number): void {
+		if (this.rental) return;
+		const most = this.settings.climb.most_machines;
+		if (most > 0 && n >= most) return;
+		const usable = this.usableCpus();
+		if (n > 0 && work > 0 && cpus >= usable) return;
+		const offers = job
+			? rankOffers(
+					offersFor(job.spec, [...this.tables.types.values()]),
+					job.spec,
+					Math.max(usable - cpus, job.spec.cpus),
+				)
+			: cheapest(this.tables.types.values());
+		const open = offers.filter((o) => (this.refusedUntil.get(offerKey(o)) ?? 0) <= now);
+		const offer = open[0];
+		if (!offer) return;
+		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb, 50);
+		// Cores beyond what the teams' limits allow would stand idle.
+		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
+		if (most > 0) count = Math.min(count, most - n);
+		count = Math.max(1, Math.min(50, count));
+		this.requestNumber += 1;
+		this.rental = {
+			request: {
+				name: `${this.requestPrefix}-${this.requestNumber}`,
+				type: offer.type.name,
+				zone: offer.zone,
+				spot: offer.spot,
+				count,
+			},
+			type: offer.type,
+			firstSentAt: now,
+		};
+		this.sendRental(this.rental);
+	}
+
+	private sendRental(rental: Rental): void {
+		const { request } = rental;
+		this.cloud.rent(request).then(
+			(ids) =>
+				this.hooks.post(() => {
+					this.rental = null;
+					const now = this.time.now();
+					for (const id of ids) this.expect(id, rental, now);
+					this.log.info({ ...request, got: ids.length }, "rented");
+					if (ids.length < request.count) this.refused(rental, now);
+				}),
+			(error) =>
+				this.hooks.post(() => {
+					const now = this.time.now();
+					const failure = error instanceof CallFailed ? error : null;
+					if (failure?.kind === "refused" && failure.status === 503) {
+						this.rental = null;
+						this.refused(rental, now);
+						this.log.debug({ ...request }, "no capacity");
+						// Another type, zone or kind is asked for without waiting for the next round.
+						this.nextRound = Math.min(this.nextRound, now + 50);
+						this.counters.up = this.settings.climb.up_past;
+					} else if (failure?.kind === "rejected" || now - rental.firstSentAt > rentalTriesMs) {
+						this.rental = null;
+						this.refused(rental, now);
+						this.log.info({ ...request, err: String(error) }, "rental given up");
+					} else {
+						// Perhaps it was carried out: the same name gets the same machines.
+						this.time.after(500, () =>
+							this.hooks.post(() => {
+								if (this.rental === rental && this.hooks.authority()) this.sendRental(rental);
+								else this.rental = null;
+							}),
+						);
+					}
+				}),
+		);
+	}
+
+	private refused(rental: Rental, now: number): void {
+		const { zone, spot } = rental.request;
+		this.refusedUntil.set(
+			offerKey({ type: rental.type, zone, spot }),
+			now + this.settings.climb.refusal_s * 1000,
+		);
+	}
+
+	private expect(id: string, rental: Rental, now: number): void {
+		if (this.tables.machines.has(id) || this.goneAt.has(id)) return;
+		const { zone, spot } = rental.request;
+		const machine = new Machine(id, rental.type, zone, spot, now);
+		this.tables.machines.set(id, machine);
+	}
+
+	// --- the machine list ---
+
+	private list(now: number): void {
+		this.listing = true;
+		this.readList().then(
+			(machines) =>
+				this.hooks.post(() => {
+					this.listing = false;
+					this.listed = true;
+					this.nextList = this.time.now() + Math.max(5000, this.listLagMs);
+					this.reconcile(machines, this.time.now());
+				}),
+			(error) =>
+				this.hooks.post(() => {
+					this.listing = false;
+					this.nextList = now + 1500;
+					// Without the cloud nothing can be rented either; do not hold the rounds up for long.
+					this.listed ||= !(error instanceof CallFailed) || error.status !== 429;
+					this.log.debug({ err: String(error) }, "list failed");
+				}),
+		);
+	}
+
+	private async readList(): Promise<ListedMachine[]> {
+		const all: ListedMachine[] = [];
+		let after = "";
+		for (;;) {
+			const { machines, more } = await this.cloud.list(after);
+			all.push(...machines);
+			const last = machines.at(-1);
+			if (!more || !last) return all;
+			after = last.id;
+		}
+	}
+
+	private reconcile(list: ListedMachine[], now: number): void {
+		for (const [id, at] of this.goneAt) if (now - at > goneKeptMs) this.goneAt.delete(id);
+		const ids = new Set<string>();
+		for (const item of list) {
+			ids.add(item.id);
+			if (this.goneAt.has(item.id)) continue;
+			let machine = this.tables.machines.get(item.id);
+			if (!machine) {
+				const type = this.tables.types.get(item.type);
+				if (!type) continue;
+				machine = new Machine(item.id, type, item.zone, item.spot, now - item.ageS * 1000);
+				machine.onlyListed = true;
+				this.tables.machines.set(machine.id, machine);
+				this.log.info({ machine: item.id, status: item.status }, "unexpected machine listed");
+			}
+			if (item.endpoint !== "" && machine.endpoint === "") machine.endpoint = item.endpoint;
+			if (item.status === "failed" && !machine.returning) {
+				machine.returning = true;
+				this.log.info({ machine: item.id }, "failed machine goes back");
+			}
+		}
+		// One known only from a list, never heard of and no longer listed, is not there.
+		for (const machine of [...this.tables.machines.values()]) {
+			if (machine.onlyListed && !machine.up && !ids.has(machine.id)) this.tables.machines.delete(machine.id);
+		}
+	}
+
+	// --- returning ---
+
+	private wantsReturn(machine: Machine, now: number): string | null {
+		if (machine.returning) return "return requested";
+		const held = machine.attempts.size > 0 || machine.hidden;
+		if (machine.lost && now - machine.answeredAt > this.silentMs(machine)) return "silent";
+		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
+		if (!machine.up && !machine.hidden && now - machine.rentedAt > bootMs) return "never came up";
+		if (held) return null;
+		if (machine.faulty) return "faulty";
+		if (machine.marked) return "drained";
+		if (machine.takenAt !== null && machine.confirmed) return "drained before it is taken";
+		return null;
+	}
+
+	private silentMs(_machine: Machine): number {
+		return this.leaseMs + this.settings.machines.silent_extra_s * 1000;
+	}
+	leaseMs = 0;
+
+	private returns(now: number): void {
+		if (this.returning || now < this.nextReturn) return;
+		const leaving: Machine[] = [];
+		for (const machine of this.tables.machines.values()) {
+			const why = this.wantsReturn(machine, now);
+			if (why === null) continue;
+			if (!machine.returning) this.log.info({ machine: machine.id, why }, "returning");
+			machine.returning = true;
+			leaving.push(machine);
+			if (leaving.length === 100) break;
+		}
+		if (leaving.length === 0) return;
+		this.returning = true;
+		this.cloud.giveBack(leaving.map((m) => m.id)).then(
+			() =>
+				this.hooks.post(() => {
+					this.returning = false;
+					for (const machine of leaving) {
+						this.goneAt.set(machine.id, this.time.now());
+						this.hooks.gone(machine);
+					}
+				}),
+			(error) =>
+				this.hooks.post(() => {
+					this.returning = false;
+					this.nextReturn = this.time.now() + 700;
+					this.log.debug({ err: String(error) }, "return failed");
+				}),
+		);
+	}
+
+	isGone(id: string): boolean {
+		return this.goneAt.has(id);
+	}
+}
+
+function remainingOf(
+	attempt: { runningAt: number | null; job: Job },
+	now: number,
+	estimate: number,
+	cap: number,
+): number {
+	const cpus = attempt.job.spec.cpus;
+	if (attempt.runningAt === null) return remainingOfWaiting(cpus, estimate, cap);
+	return remainingOfRunning(cpus, (now - attempt.runningAt) / 1000, estimate, cap);
+}
+
+function hourly(machine: Machine): number {
+	return machine.spot ? machine.type.spotPrice : machine.type.price;
+}
+
+function cheapest(types: Iterable<MachineType>): Offer[] {
+	const offers: Offer[] = [];
+	for (const type of types) {
+		for (const zone of type.zones) {
+			offers.push({ type, zone, spot: true, price: type.spotPrice });
+			offers.push({ type, zone, spot: false, price: type.price });
+		}
+	}
+	return offers.sort((a, b) => a.price - b.price);
+}
--- /dev/null
+++ b/src/coordination/front-desk.ts
@@ -0,0 +1,177 @@
+import { typeFits } from "../bookkeeping/jobs.js";
+import { type FinalRecord, type JobRecord, keys } from "../bookkeeping/records.js";
+import type { Replica } from "../bookkeeping/replica.js";
+import type { JobSpec, JobStatus } from "../protocol/model.js";
+import type { TeamSettings } from "../protocol/settings.js";
+import type { LocalCopy } from "./local-copy.js";
+import { CallFailed, type StorePort, type TimePort } from "./ports.js";
+
+export interface JobState {
+	status: JobStatus;
+	done: number;
+	running: number;
+}
+
+export type Submitted =
+	| { kind: "accepted" | "known"; status: JobStatus }
+	| { kind: "impossible"; reason: string }
+	| { kind: "later"; reason: string };
+
+export type Looked = ({ kind: "job" } & JobState) | { kind: "unknown" } | { kind: "later"; reason: string };
+
+const notNow = { kind: "later", reason: "the state service does not answer for now" } as const;
+
+/** Why a job can never run here, or null. */
+export function impossible(
+	spec: JobSpec,
+	team: TeamSettings | undefined,
+	types: Parameters<typeof typeFits>[1][],
+): string | null {
+	if (!team) return `there is no team "${spec.team}"`;
+	if (spec.cpus > team.cpus_max || spec.gpus > team.gpus_max) {
+		return `a task needs more than the limit of team "${spec.team}"`;
+	}
+	if (!types.some((type) => typeFits(spec, type))) return "a task fits no allowed machine type";
+	return null;
+}
+
+/**
+ * Takes, answers and cancels jobs straight against the store, on every node, so
+ * that users need no leader. What cannot be answered with certainty is answered
+ * 503 at once.
+ */
+export class FrontDesk {
+	constructor(
+		private readonly replica: Replica,
+		private readonly copy: LocalCopy,
+		private readonly store: StorePort,
+		private readonly time: TimePort,
+		private readonly teams: Map<string, TeamSettings>,
+		private readonly valueKb: number,
+		private readonly enqueue: <T>(command: () => T) => Promise<T>,
+		private readonly running: (id: string) => number,
+	) {}
+
+	async submit(spec: JobSpec): Promise<Submitted> {
+		try {
+			const held = await this.enqueue(() => this.stateNow(spec.id));
+			// A known id is answered before any check: settings may have changed since.
+			if (held) return await this.known(spec.id);
+			const types = this.replica.types?.value;
+			if (!this.replica.loaded || !types) {
+				return { kind: "later", reason: "the machine types are not known yet" };
+			}
+			const record: JobRecord = { spec, at: this.time.date().getTime() };
+			const size = Buffer.byteLength(JSON.stringify(record));
+			const reason =
+				impossible(spec, this.teams.get(spec.team), types) ??
+				(size > this.valueKb * 1024 ? "the job's description is too long to be kept" : null);
+			if (reason !== null) {
+				const known = await this.lookOnce(spec.id);
+				return known ? { kind: "known", status: known.status } : { kind: "impossible", reason };
+			}
+			const key = keys.job(spec.id);
+			const result = await this.store.transact(
+				[
+					{ key, revision: 0 },
+					{ key: keys.final(spec.id), revision: 0 },
+				],
+				[{ put: key, value: record }],
+				"first",
+			);
+			if (!result.ok) return await this.known(spec.id);
+			await this.enqueue(() => this.replica.applyOwn(key, record, result.epoch));
+			return { kind: "accepted", status: "pending" };
+		} catch (error) {
+			return later(error);
+		}
+	}
+
+	private async known(id: string): Promise<Submitted> {
+		const state = await this.lookOnce(id);
+		return state
+			? { kind: "known", status: state.status }
+			: { kind: "later", reason: "the job's state is not certain for now" };
+	}
+
+	async look(id: string): Promise<Looked> {
+		try {
+			const state = await this.lookOnce(id);
+			return state ? { kind: "job", ...state } : { kind: "unknown" };
+		} catch (error) {
+			return later(error);
+		}
+	}
+
+	async abort(id: string): Promise<Looked> {
+		try {
+			for (let tries = 0; tries < 4; tries++) {
+				const state = await this.lookOnce(id);
+				if (!state) return { kind: "unknown" };
+				if (state.status === "done" || state.status === "cancelled") return { kind: "job", ...state };
+				const record = await this.enqueue(() => this.replica.jobs.get(id));
+				if (!record) continue;
+				const final: FinalRecord = {
+					status: "cancelled",
+					tasks: record.value.spec.tasks,
+					done: state.done,
+				};
+				const pages = await this.enqueue(() => [...(this.replica.sets.get(id)?.keys() ?? [])]);
+				const result = await this.store.transact(
+					[{ key: keys.job(id), revision: record.revision }],
+					[
+						{ delete: keys.job(id) },
+						{ put: keys.final(id), value: final },
+						...pages.slice(0, 8).map((page) => ({ delete: keys.set(id, page) })),
+					],
+					"first",
+				);
+				if (result.ok) {
+					await this.enqueue(() => this.replica.applyOwn(keys.final(id), final, result.epoch));
+					return { kind: "job", status: "cancelled", done: state.done, running: 0 };
+				}
+			}
+			return { kind: "later", reason: "the job is changing too fast" };
+		} catch (error) {
+			return later(error);
+		}
+	}
+
+	/** The state as of some moment after the call; null: no such job. */
+	private async lookOnce(id: string): Promise<JobState | null> {
+		const final = await this.enqueue(() => this.finalNow(id));
+		// A final state never changes and needs no check.
+		if (final) return final;
+		await this.copy.fence();
+		const state = await this.enqueue(() => this.stateNow(id));
+		if (state) return state;
+		const { row } = await this.store.read(keys.final(id));
+		if (!row) return null;
+		const record = row.value as FinalRecord;
+		await this.enqueue(() => this.replica.rememberFinal(id, record));
+		return stateOf(record);
+	}
+
+	private finalNow(id: string): JobState | null {
+		const final = this.replica.finals.get(id);
+		return final ? stateOf(final) : null;
+	}
+
+	private stateNow(id: string): JobState | null {
+		const final = this.finalNow(id);
+		if (final) return final;
+		const record = this.replica.jobs.get(id);
+		if (!record) return null;
+		const running = this.running(id);
+		return { status: running > 0 ? "running" : "pending", done: this.replica.doneCount(id), running };
+	}
+}
+
+function stateOf(final: FinalRecord): JobState {
+	return { status: final.status, done: final.done, running: 0 };
+}
+
+function later(error: unknown): { kind: "later"; reason: string } {
+	if (error instanceof CallFailed) return notNow;
+	throw error;
+}
--- /dev/null
+++ b/src/coordination/leader.ts
@@ -0,0 +1,660 @@
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import { Machine } from "../bookkeeping/machines.js";
+import { type FinalRecord, keys, type MachineRecord } from "../bookkeeping/records.js";
+import type { Replica } from "../bookkeeping/replica.js";
+import { tasksPerPage } from "../bookkeeping/task-set.js";
+import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
+import type { OperatorSettings } from "../protocol/operator.js";
+import type { PeerMessage } from "../protocol/peer.js";
+import type { PlatformSettings } from "../protocol/settings.js";
+import type { StoreChange, StoreCondition } from "../protocol/wire.js";
+import { Fleet } from "./fleet.js";
+import { drift } from "./leadership.js";
+import { placerOf } from "./parting.js";
+import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
+import {
+	CallFailed,
+	type CloudPort,
+	type Log,
+	type PeerPort,
+	type StorePort,
+	type TimePort,
+	type WorkerPort,
+} from "./ports.js";
+import { applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
+import { Tables } from "./tables.js";
+
+export interface LeaderPorts {
+	store: StorePort;
+	cloud: CloudPort;
+	workers: WorkerPort;
+	peers: PeerPort;
+	time: TimePort;
+	log: Log;
+	post(command: () => void): void;
+	random: RandomGenerator;
+}
+
+interface Outstanding {
+	cycle: number;
+	sentAt: number;
+}
+
+interface HeldReport {
+	machine: string;
+	until: number;
+	answer(orders: Order[] | null): void;
+}
+
+const expiryMarginMs = 500;
+const progressEveryMs = 1500;
+const answerHoldMs = 150;
+
+/** One term of leadership: tables, orders, placing, scaling. Everything here runs in the queue. */
+export class Leader {
+	readonly tables: Tables;
+	private readonly fleet: Fleet;
+	private ended = false;
+	private cycle = 0;
+	private nextCycle = 0;
+	private readonly outstanding = new Map<string, Outstanding>();
+	private readonly heardFrom = new Map<string, number>();
+	private held: HeldReport[] = [];
+	private writing = false;
+	private nextWrite = 0;
+	private nextPing = 0;
+	private readonly perPage: number;
+	private readonly leaseMs: number;
+
+	constructor(
+		readonly epoch: number,
+		private readonly self: string,
+		private readonly platform: PlatformSettings,
+		private readonly settings: OperatorSettings,
+		private readonly replica: Replica,
+		types: MachineType[],
+		private readonly ports: LeaderPorts,
+		private readonly authority: () => boolean,
+		private readonly resign: (why: string) => void,
+		requestPrefix: string,
+	) {
+		const { cluster } = platform;
+		this.leaseMs = cluster.workers.lease_s * 1000;
+		this.perPage = tasksPerPage(cluster.state.value_kb);
+		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])));
+		this.fleet = new Fleet(
+			this.tables,
+			ports.cloud,
+			ports.time,
+			settings,
+			cluster.cloud.list_lag_s * 1000,
+			requestPrefix,
+			{ post: ports.post, authority: () => this.active, gone: (m) => this.machineGone(m) },
+			ports.log,
+		);
+		this.fleet.leaseMs = this.leaseMs;
+		this.rebuild();
+	}
+
+	private get active(): boolean {
+		return !this.ended && this.authority();
+	}
+
+	end(): void {
+		this.ended = true;
+		for (const held of this.held.splice(0)) held.answer(null);
+	}
+
+	// --- rebuilding ---
+
+	/** Jobs come from the store; machines that may hold tasks are hidden until heard or waited out. */
+	private rebuild(): void {
+		const { tables, replica, ports } = this;
+		const now = ports.time.now();
+		for (const [id, record] of replica.jobs)
+			this.loadJob(id, record.value.spec, record.value.at, record.revision);
+		for (const [id, record] of replica.machines) {
+			const type = tables.types.get(record.value.type) ?? unknownType(record.value.type);
+			const machine = this.newMachine(id, type, record.value.zone, record.value.spot, now);
+			machine.endpoint = record.value.endpoint;
+			machine.hidden = true;
+			machine.durable = true;
+			this.probe(machine, record.value.session, 3);
+		}
+		ports.log.info(
+			{ epoch: this.epoch, jobs: tables.jobs.size, machines: tables.machines.size },
+			"leading: rebuilding",
+		);
+	}
+
+	private newMachine(id: string, type: MachineType, zone: string, spot: boolean, now: number): Machine {
+		const machine = new Machine(id, type, zone, spot, now);
+		this.tables.machines.set(id, machine);
+		return machine;
+	}
+
+	private loadJob(id: string, spec: Job["spec"], at: number, revision: number): void {
+		const job = this.tables.addJob(id, spec, at, revision);
+		for (const [page, record] of this.replica.sets.get(id) ?? []) {
+			job.done.addPage(page, this.perPage, record.value.bits);
+			job.durable.addPage(page, this.perPage, record.value.bits);
+		}
+		job.fillWaiting();
+		this.finishIfDone(job);
+	}
+
+	/**
+	 * Asks a machine straight for its tasks. An empty list of orders carries the
+	 * token there, so that every answer of an earlier leader is dead from then on.
+	 */
+	private probe(machine: Machine, session: number, tries: number): void {
+		if (!machine.hidden || machine.endpoint === "" || tries === 0 || !this.active) return;
+		this.ports.workers.command(machine.endpoint, this.epoch, session, []).then(
+			({ executed, report }) =>
+				this.ports.post(() => {
+					if (!machine.hidden || this.ended) return;
+					if (executed && report.machine === machine.id) this.apply(report);
+					else if (report.token <= this.epoch) this.probe(machine, report.session, tries - 1);
+				}),
+			() =>
+				this.ports.time.after(500, () =>
+					this.ports.post(() => {
+						if (!this.ended) this.probe(machine, session, tries - 1);
+					}),
+				),
+		);
+	}
+
+	// --- reports ---
+
+	/** null: this process may not answer for the controllers. */
+	report(report: WorkerReport): Promise<Order[] | null> {
+		if (!this.active) return Promise.resolve(null);
+		if (this.fleet.isGone(report.machine)) return Promise.resolve(null);
+		const now = this.ports.time.now();
+		const applied = this.apply(report);
+		if (applied === "expired") return Promise.resolve(null);
+		if (applied !== "applied") return Promise.resolve([]);
+		const machine = this.tables.machines.get(report.machine) as Machine;
+		machine.answeredAt = now;
+		if (!machine.durable) this.record(machine);
+		const worthHolding = machine.open && machine.freeCpus > 0 && this.anyWaiting(now);
+		if (!worthHolding) return Promise.resolve(this.answer(machine));
+		// Freed places are filled in the same answer: the next one is a report interval away.
+		return new Promise((resolve) => {
+			this.held.push({ machine: machine.id, until: now + answerHoldMs, answer: resolve });
+			this.tables.changed = true;
+			this.ports.time.after(answerHoldMs, () => this.ports.post(() => this.releaseHeld(false)));
+		});
+	}
+
+	private answer(machine: Machine): Order[] | null {
+		if (!this.active) return null;
+		machine.answeredAt = this.ports.time.now();
+		return ordersFor(this.tables, machine);
+	}
+
+	private releaseHeld(all: boolean): void {
+		const now = this.ports.time.now();
+		const due = this.held.filter((h) => all || h.until <= now);
+		if (due.length === 0) return;
+		this.held = this.held.filter((h) => !due.includes(h));
+		for (const held of due) {
+			const machine = this.tables.machines.get(held.machine);
+			held.answer(machine ? this.answer(machine) : null);
+		}
+	}
+
+	private apply(report: WorkerReport): "applied" | "expired" | "ignored" {
+		const { tables, ports } = this;
+		const now = ports.time.now();
+		const applied = applyReport(tables, report, now);
+		if (applied.kind === "expired") return "expired";
+		if (applied.kind !== "applied") return "ignored";
+		const { machine } = applied;
+		machine.onlyListed = false;
+		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
+		for (const outcome of applied.outcomes) this.settle(outcome, now);
+		for (const attempt of applied.vanished) {
+			ports.log.info({ machine: machine.id, job: attempt.job.id, task: attempt.index }, "task vanished");
+		}
+		this.stopBeforeTaken(machine, now);
+		return "applied";
+	}
+
+	private settle({ attempt, cause }: Outcome, now: number): void {
+		const { job, machine } = attempt;
+		if (cause === "done") {
+			if (attempt.runningAt !== null) {
+				job.finishedRuns += 1;
+				job.finishedSeconds += (now - attempt.runningAt) / 1000;
+			}
+			machine.suspect = false;
+			machine.failedJobs.clear();
+			job.failedOn.clear();
+			job.failures = 0;
+			this.finishIfDone(job);
+			return;
+		}
+		if (cause !== "error" && cause !== "unknown") return;
+		this.ports.log.info({ machine: machine.id, job: job.id, task: attempt.index, cause }, "task failed");
+		job.failures += 1;
+		job.failedOn.add(machine.id);
+		if (job.doomed) {
+			// It fails everywhere: tried again with growing pauses.
+			job.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - 3));
+		}
+		if (cause === "error") {
+			machine.suspect = true;
+			machine.failedJobs.add(job.id);
+			if (machine.failedJobs.size >= this.settings.machines.faulty_after && !machine.faulty) {
+				machine.faulty = true;
+				this.ports.log.info({ machine: machine.id }, "set aside as faulty");
+			}
+		}
+	}
+
+	/** A task that can save is stopped in time when its machine will be taken away. */
+	private stopBeforeTaken(machine: Machine, now: number): void {
+		if (machine.takenAt === null) return;
+		const leftS = (machine.takenAt - now) / 1000;
+		for (const attempt of machine.attempts.values()) {
+			const { spec } = attempt.job;
+			if (attempt.stop !== null || spec.checkpointS <= 0 || attempt.phase !== "running") continue;
+			const margin = 2 * this.platform.cluster.workers.report_s;
+			if (leftS <= spec.saveS + margin) attempt.stop = { graceS: leftS, why: "machine is taken" };
+		}
+	}
+
+	// --- the store ---
+
+	private leaderCondition(): StoreCondition {
+		return { key: keys.leader, revision: this.epoch };
+	}
+
+	/** A machine's record is written before the first start is sent to it. */
+	private record(machine: Machine): void {
+		if (machine.writing || machine.durable) return;
+		machine.writing = true;
+		const value: MachineRecord = {
+			endpoint: machine.endpoint,
+			type: machine.type.name,
+			zone: machine.zone,
+			spot: machine.spot,
+			session: machine.session,
+		};
+		const change: StoreChange = { put: keys.machine(machine.id), value };
+		this.ports.store.transact([this.leaderCondition()], [change], "normal").then(
+			(result) =>
+				this.ports.post(() => {
+					machine.writing = false;
+					if (!result.ok) return this.lostKey();
+					machine.durable = true;
+					this.tables.changed = true;
+				}),
+			(error) =>
+				this.ports.post(() => {
+					machine.writing = false;
+					this.ports.log.debug({ machine: machine.id, err: String(error) }, "machine record not written");
+				}),
+		);
+	}
+
+	private lostKey(): void {
+		if (!this.ended) this.resign("the leader's key has changed");
+	}
+
+	private machineGone(machine: Machine): void {
+		const held = this.tables.removeMachine(machine);
+		this.ports.log.info({ machine: machine.id, held }, "machine gone");
+		if (!machine.durable && !machine.writing) return;
+		this.dropRecord(machine.id, 5);
+	}
+
+	/** A record left behind only makes a later leader wait for a machine that is gone. */
+	private dropRecord(id: string, tries: number): void {
+		if (this.ended || tries === 0) return;
+		this.ports.store.transact([this.leaderCondition()], [{ delete: keys.machine(id) }], "normal").then(
+			(result) => {
+				if (!result.ok) this.ports.post(() => this.lostKey());
+			},
+			() => this.ports.time.after(1000, () => this.ports.post(() => this.dropRecord(id, tries - 1))),
+		);
+	}
+
+	private finishIfDone(job: Job): void {
+		if (!job.done.full || job.ending || job.cancelled) return;
+		job.ending = true;
+		this.writeFinal(job);
+	}
+
+	private writeFinal(job: Job): void {
+		if (this.ended || job.cancelled) return;
+		const value: FinalRecord = { status: "done", tasks: job.spec.tasks, done: job.spec.tasks };
+		const changes: StoreChange[] = [
+			{ delete: keys.job(job.id) },
+			{ put: keys.final(job.id), value },
+			...[...(this.replica.sets.get(job.id)?.keys() ?? [])].map((page) => ({
+				delete: keys.set(job.id, page),
+			})),
+		];
+		const conditions = [this.leaderCondition(), { key: keys.job(job.id), revision: job.revision }];
+		this.ports.store.transact(conditions, changes, "first").then(
+			(result) =>
+				this.ports.post(() => {
+					if (!result.ok) {
+						if (result.failed.includes(keys.leader)) this.lostKey();
+						// Else the job was cancelled first; the watch says so.
+						return;
+					}
+					this.ports.log.info({ job: job.id }, "job done");
+					this.replica.applyOwn(keys.final(job.id), value, result.epoch);
+					this.jobEnded(job.id);
+				}),
+			() => this.ports.time.after(300, () => this.ports.post(() => this.writeFinal(job))),
+		);
+	}
+
+	private writeProgress(now: number): void {
+		if (this.writing || now < this.nextWrite) return;
+		const due = [...this.tables.jobs.values()]
+			.filter((job) => job.dirty && !job.ending && now - job.writtenAt >= progressEveryMs)
+			.sort((a, b) => a.writtenAt - b.writtenAt);
+		if (due.length === 0) return;
+		const changes: StoreChange[] = [];
+		const conditions = [this.leaderCondition()];
+		const written: { job: Job; indices: number[] }[] = [];
+		const most = Math.min(this.platform.cluster.state.txn_ops, 4);
+		for (const job of due) {
+			const fresh: number[] = [];
+			const pages = new Set<number>();
+			for (let i = 0; i < job.spec.tasks; i++) {
+				if (job.done.has(i) && !job.durable.has(i)) {
+					fresh.push(i);
+					pages.add(Math.floor(i / this.perPage));
+				}
+			}
+			if (changes.length > 0 && changes.length + pages.size > most) break;
+			for (const page of pages) {
+				changes.push({ put: keys.set(job.id, page), value: { bits: job.done.page(page, this.perPage) } });
+			}
+			conditions.push({ key: keys.job(job.id), revision: job.revision });
+			written.push({ job, indices: fresh });
+			job.dirty = false;
+			job.writtenAt = now;
+		}
+		this.writing = true;
+		const again = () => {
+			this.writing = false;
+			for (const { job } of written) job.dirty = true;
+		};
+		this.ports.store.transact(conditions, changes, "background").then(
+			(result) =>
+				this.ports.post(() => {
+					if (!result.ok) {
+						again();
+						if (result.failed.includes(keys.leader)) this.lostKey();
+						return;
+					}
+					this.writing = false;
+					for (const { job, indices } of written) for (const i of indices) job.durable.add(i);
+				}),
+			() =>
+				this.ports.post(() => {
+					again();
+					this.nextWrite = this.ports.time.now() + 500;
+				}),
+		);
+	}
+
+	/** A job appeared in the local copy, or left it. */
+	jobChanged(id: string): void {
+		if (this.ended) return;
+		const record = this.replica.jobs.get(id);
+		if (record) {
+			if (!this.tables.jobs.has(id)) this.loadJob(id, record.value.spec, record.value.at, record.revision);
+		} else this.jobEnded(id);
+	}
+
+	private jobEnded(id: string): void {
+		const job = this.tables.jobs.get(id);
+		if (!job) return;
+		const still = this.tables.endJob(job);
+		if (still.length > 0) this.ports.log.info({ job: id, running: still.length }, "job over: stopping tasks");
+		this.stopNow(still);
+	}
+
+	/** Stops go straight to the workers, and again in every answer until the attempts are over. */
+	private stopNow(attempts: Attempt[]): void {
+		if (!this.active) return;
+		const byMachine = new Map<Machine, Attempt[]>();
+		for (const a of attempts) byMachine.set(a.machine, [...(byMachine.get(a.machine) ?? []), a]);
+		for (const [machine, list] of byMachine) {
+			if (machine.endpoint === "" || machine.lost) continue;
+			this.ports.workers
+				.command(machine.endpoint, this.epoch, machine.session, stopsFor(list))
+				.catch((error) => this.ports.log.debug({ machine: machine.id, err: String(error) }, "stop not sent"));
+		}
+	}
+
+	// --- time ---
+
+	tick(): void {
+		if (!this.active) return;
+		const now = this.ports.time.now();
+		this.sweep(now);
+		this.fleet.tick();
+		this.writeProgress(now);
+		this.pings(now);
+		if (this.anyWaiting(now)) this.tables.changed = true;
+		this.maybePlace();
+		if (this.tables.exhausted) this.resign("attempt numbers used up");
+	}
+
+	private sweep(now: number): void {
+		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
+		for (const machine of this.tables.machines.values()) {
+			if (machine.lost || !(machine.up || machine.hidden)) continue;
+			if (now - machine.answeredAt <= certainMs) continue;
+			const n = this.tables.expire(machine);
+			this.ports.log.info({ machine: machine.id, tasks: n }, "machine silent: its lease has expired");
+		}
+	}
+
+	private pings(now: number): void {
+		if (now < this.nextPing) return;
+		this.nextPing = now + 500;
+		const counts: [string, number][] = [];
+		for (const job of this.tables.jobs.values()) {
+			if (job.attempts.size > 0) counts.push([job.id, runningOf(job)]);
+		}
+		for (const other of this.platform.others) {
+			this.send(other.node, { kind: "running", epoch: this.epoch, counts });
+			this.send(other.node, { kind: "ping", epoch: this.epoch });
+		}
+	}
+
+	runningCount(id: string): number {
+		const job = this.tables.jobs.get(id);
+		return job ? runningOf(job) : 0;
+	}
+
+	private send(node: string, message: PeerMessage): void {
+		this.ports.peers.send(node, message);
+	}
+
+	// --- placing ---
+
+	private anyWaiting(now: number): boolean {
+		for (const job of this.tables.jobs.values()) {
+			if (job.waiting.length > 0 && job.notBefore <= now) return true;
+		}
+		return false;
+	}
+
+	/** After each batch of commands. */
+	maybePlace(): void {
+		if (!this.active) return;
+		const now = this.ports.time.now();
+		if (this.tables.changed && now >= this.nextCycle) {
+			this.tables.changed = false;
+			this.nextCycle = now + this.settings.placing.cycle_s * 1000;
+			if (this.tables.rebuilt) this.place(now);
+		}
+		if (this.held.length > 0 && this.outstanding.size === 0 && !this.tables.changed) this.releaseHeld(true);
+	}
+
+	private livePlacers(now: number): string[] {
+		const live = [this.self];
+		for (const other of this.platform.others) {
+			const heard = this.heardFrom.get(other.node) ?? -Infinity;
+			if (now - heard <= this.settings.placing.silent_s * 1000 + 500) live.push(other.node);
+		}
+		return live;
+	}
+
+	private place(now: number): void {
+		const silentMs = this.settings.placing.silent_s * 1000;
+		for (const [node, o] of this.outstanding) {
+			if (now - o.sentAt > silentMs) {
+				this.outstanding.delete(node);
+				this.heardFrom.delete(node);
+			}
+		}
+		const open = [...this.tables.machines.values()].filter((m) => m.open && m.freeCpus > 0);
+		if (open.length === 0) return;
+		const views = sampled(open, this.settings.placing.sample, this.ports.random).map(viewOf);
+		views.sort((a, b) => b.cpus - a.cpus);
+		const grants = this.grants(views, now);
+		if (grants.length === 0) return;
+		const live = this.livePlacers(now);
+		const shares = new Map<string, Grant[]>();
+		for (const { grant, team } of grants) {
+			const placer = placerOf(team, live) ?? this.self;
+			// A placer still at work on the last view may be using its teams' room already.
+			if (this.outstanding.has(placer)) continue;
+			shares.set(placer, [...(shares.get(placer) ?? []), grant]);
+		}
+		this.cycle += 1;
+		const order = [...shares.keys()].sort();
+		for (const [placer, share] of shares) {
+			// Placers begin at different machines so that they seldom want the same place.
+			const start = Math.floor((order.indexOf(placer) * views.length) / order.length);
+			if (placer === this.self) {
+				const copy = views.map((v) => ({ ...v }));
+				this.issue(
+					placeFirstFit(copy, share, (id) => this.tables.jobs.get(id)?.spec, start),
+					now,
+				);
+				continue;
+			}
+			this.outstanding.set(placer, { cycle: this.cycle, sentAt: now });
+			this.send(placer, {
+				kind: "view",
+				epoch: this.epoch,
+				cycle: this.cycle,
+				start,
+				machines: views,
+				grants: share,
+			});
+		}
+	}
+
+	/** Checks every proposal against the leader's own tables. */
+	private issue(placements: Placement[], now: number): void {
+		for (const p of placements) {
+			const job = this.tables.jobs.get(p.job);
+			const machine = this.tables.machines.get(p.machine);
+			if (!job || !machine || !Number.isInteger(p.count)) continue;
+			for (let i = 0; i < p.count; i++) if (!this.tables.decide(job, machine, now)) break;
+		}
+	}
+
+	peerMessage(from: string, message: PeerMessage): void {
+		if (this.ended || message.epoch !== this.epoch) return;
+		const now = this.ports.time.now();
+		this.heardFrom.set(from, now);
+		if (message.kind !== "placed") return;
+		const asked = this.outstanding.get(from);
+		if (!asked || asked.cycle !== message.cycle) return;
+		this.outstanding.delete(from);
+		if (Array.isArray(message.placements)) this.issue(message.placements, now);
+	}
+
+	/** Who may start how much now: guarantees first, then borrowing; urgent before the rest. */
+	private grants(views: ViewMachine[], now: number): { grant: Grant; team: string }[] {
+		const { quotas } = this.tables;
+		let freeCpus = 0;
+		for (const v of views) freeCpus += v.cpus;
+		const jobs = [...this.tables.jobs.values()]
+			.filter((job) => job.waiting.length > 0 && job.notBefore <= now && !job.ending)
+			.sort((a, b) => a.rank - b.rank || dueAt(a) - dueAt(b) || a.at - b.at);
+		const taken = new Map<string, { cpus: number; gpus: number }>();
+		const grants = new Map<Job, number>();
+		for (const guarantee of [true, false]) {
+			for (const job of jobs) {
+				if (freeCpus <= 0) break;
+				const { spec } = job;
+				const extra = taken.get(spec.team) ?? { cpus: 0, gpus: 0 };
+				const already = grants.get(job) ?? 0;
+				const waiting = job.doomed ? Math.min(1, job.waiting.length) : job.waiting.length;
+				let n = Math.min(waiting - already, quotas.room(spec.team, spec.cpus, spec.gpus, guarantee, extra));
+				n = Math.min(n, Math.ceil(freeCpus / spec.cpus));
+				if (n <= 0) continue;
+				grants.set(job, already + n);
+				taken.set(spec.team, { cpus: extra.cpus + n * spec.cpus, gpus: extra.gpus + n * spec.gpus });
+				freeCpus -= n * spec.cpus;
+			}
+		}
+		return [...grants].map(([job, count]) => ({
+			team: job.spec.team,
+			grant: {
+				job: job.id,
+				count,
+				avoid: job.doomed ? [] : [...job.failedOn],
+				zones: job.spec.oneZone || job.spec.spread ? this.tables.zonesOf(job) : {},
+			},
+		}));
+	}
+}
+
+function runningOf(job: Job): number {
+	let n = 0;
+	for (const a of job.attempts.values()) if (a.phase === "running" || a.phase === "saving") n += 1;
+	return n;
+}
+
+function dueAt(job: Job): number {
+	return job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.at + job.spec.deadlineS * 1000;
+}
+
+function viewOf(machine: Machine): ViewMachine {
+	return {
+		id: machine.id,
+		type: machine.type.name,
+		zone: machine.zone,
+		spot: machine.spot,
+		cpus: machine.freeCpus,
+		gpus: machine.freeGpus,
+		memory: machine.freeMemory,
+		slots: machine.suspect ? Math.max(0, 1 - machine.attempts.size) : 100_000,
+		images: [...machine.images],
+	};
+}
+
+/** A machine of a type that the cloud no longer names can hold tasks, but gets no new ones. */
+function unknownType(name: string): MachineType {
+	return {
+		name,
+		cpus: 0,
+		gpus: 0,
+		memoryGb: 0,
+		cacheGb: 0,
+		fetchGbPerS: 1,
+		price: 0,
+		spotPrice: 0,
+		bootS: 60,
+		zones: [],
+	};
+}
--- /dev/null
+++ b/src/coordination/local-copy.ts
@@ -0,0 +1,130 @@
+import { keys } from "../bookkeeping/records.js";
+import type { Replica } from "../bookkeeping/replica.js";
+import { CallFailed, type Log, type StorePort, type TimePort } from "./ports.js";
+
+const watchMs = 5000;
+const gatherMs = 15;
+
+interface Waiter {
+	resolve(): void;
+	reject(error: unknown): void;
+}
+
+/**
+ * Keeps the local copy up with the store by a long watch. Where an answer must
+ * not be older than any given before, `fence` asks the store anew: a watch that
+ * does not wait returns every change up to its own epoch. One such request serves
+ * all who wait at that moment. Silence of the long watch is never taken for
+ * "nothing changed".
+ */
+export class LocalCopy {
+	private waiters: Waiter[] = [];
+	private fencing = false;
+	private stopped = false;
+	private reloading: Promise<void> | null = null;
+	/** Steady time at which the store last answered. */
+	heardAt = -Infinity;
+
+	constructor(
+		private readonly replica: Replica,
+		private readonly store: StorePort,
+		private readonly time: TimePort,
+		private readonly post: (command: () => void) => void,
+		private readonly log: Log,
+	) {}
+
+	start(): void {
+		this.watchOn();
+	}
+
+	stop(): void {
+		this.stopped = true;
+	}
+
+	private watchOn(): void {
+		if (this.stopped) return;
+		const from = this.replica.epoch;
+		const step = this.replica.loaded
+			? this.store.watch(keys.root, from, watchMs)
+			: this.reload().then(() => null);
+		step.then(
+			(answer) =>
+				this.post(() => {
+					this.heardAt = this.time.now();
+					if (answer) this.take(from, answer);
+					this.watchOn();
+				}),
+			(error) =>
+				this.post(() => {
+					this.log.debug({ err: String(error) }, "watch failed");
+					if (error instanceof CallFailed && error.status === 410) this.replica.loaded = false;
+					this.time.after(200, () => this.watchOn());
+				}),
+		);
+	}
+
+	/** An answer covers everything after `from`; it must not leave a gap behind a reload. */
+	private take(from: number, answer: Awaited<ReturnType<StorePort["watch"]>>): void {
+		if (this.replica.loaded && from <= this.replica.epoch) this.replica.apply(answer.events, answer.epoch);
+	}
+
+	private reload(): Promise<void> {
+		this.reloading ??= this.load().finally(() => {
+			this.reloading = null;
+		});
+		return this.reloading;
+	}
+
+	private async load(): Promise<void> {
+		const parts = [];
+		// One after the other, machines last: a burst of calls would use up a starting node's share.
+		for (const prefix of [keys.one, keys.jobs, keys.sets, keys.machines])
+			parts.push(await this.store.rows(prefix));
+		const rows = parts.flatMap((p) => p.rows);
+		const epoch = Math.min(...parts.map((p) => p.epoch));
+		await new Promise<void>((resolve) =>
+			this.post(() => {
+				this.replica.reset(rows, epoch);
+				resolve();
+			}),
+		);
+	}
+
+	/** Resolves once the copy holds all that was in the store when this was called. */
+	fence(): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.waiters.push({ resolve, reject });
+			if (this.fencing) return;
+			this.fencing = true;
+			this.time.after(gatherMs, () => this.post(() => this.runFence()));
+		});
+	}
+
+	private runFence(): void {
+		const served = this.waiters;
+		this.waiters = [];
+		const done = (settle: (w: Waiter) => void) => {
+			for (const w of served) settle(w);
+			if (this.waiters.length > 0) this.time.after(gatherMs, () => this.post(() => this.runFence()));
+			else this.fencing = false;
+		};
+		if (!this.replica.loaded) {
+			done((w) => w.reject(new CallFailed("refused", 0, "the local copy is not loaded")));
+			return;
+		}
+		const from = this.replica.epoch;
+		this.store.watch(keys.root, from, 0).then(
+			(answer) =>
+				this.post(() => {
+					this.heardAt = this.time.now();
+					this.take(from, answer);
+					done((w) => w.resolve());
+				}),
+			(error) =>
+				this.post(() => {
+					if (error instanceof CallFailed && error.status === 410) this.replica.loaded = false;
+					done((w) => w.reject(error));
+				}),
+		);
+	}
+}
--- /dev/null
+++ b/src/coordination/placing.ts
@@ -0,0 +1,106 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { JobSpec } from "../protocol/model.js";
+
+/** A machine in the view that the leader sends: what is free on it. */
+export interface ViewMachine {
+	id: string;
+	type: string;
+	zone: string;
+	spot: boolean;
+	cpus: number;
+	gpus: number;
+	memory: number;
+	/** Most tasks that may be added. */
+	slots: number;
+	images: string[];
+}
+
+/** How many tasks of a job may start now, by quota and order; decided by the leader. */
+export interface Grant {
+	job: string;
+	count: number;
+	/** Machines on which this job's tasks failed. */
+	avoid: string[];
+	/** The job's tasks that may be anywhere, by zone. */
+	zones: Record<string, number>;
+}
+
+export interface Placement {
+	job: string;
+	machine: string;
+	count: number;
+}
+
+const slack = 1e-6;
+
+/** How many more tasks of the job its own zone rules allow in a zone. */
+export function zoneRoom(spec: JobSpec, zones: Record<string, number>, zone: string): number {
+	let room = Number.POSITIVE_INFINITY;
+	if (spec.oneZone) {
+		for (const [other, n] of Object.entries(zones)) if (other !== zone && n > 0) return 0;
+	}
+	if (spec.spread) room = Math.min(room, Math.ceil(spec.tasks / 2) - (zones[zone] ?? 0));
+	return Math.max(0, room);
+}
+
+function fits(spec: JobSpec, m: ViewMachine): number {
+	if (spec.types !== null && !spec.types.includes(m.type)) return 0;
+	if (spec.zone !== null && spec.zone !== m.zone) return 0;
+	if (m.spot && !spec.spot) return 0;
+	let n = m.slots;
+	if (spec.cpus > 0) n = Math.min(n, Math.floor((m.cpus + slack) / spec.cpus));
+	if (spec.gpus > 0) n = Math.min(n, Math.floor((m.gpus + slack) / spec.gpus));
+	if (spec.memoryGb > 0) n = Math.min(n, Math.floor((m.memory + slack) / spec.memoryGb));
+	return Math.max(0, n);
+}
+
+/** With very many machines a sample stands for them. */
+export function sampled<T>(all: T[], most: number, random: RandomGenerator): T[] {
+	if (all.length <= most) return all;
+	const pool = all.slice();
+	for (let i = 0; i < most; i++) {
+		const j = uniformInt(random, i, pool.length - 1);
+		const held = pool[i] as T;
+		pool[i] = pool[j] as T;
+		pool[j] = held;
+	}
+	return pool.slice(0, most);
+}
+
+/**
+ * First-fit for one placer's grants, in their order. Machines that have the
+ * image come first, then the rest, in the view's order from `start` on.
+ * The machines given are used up as tasks are put on them.
+ */
+export function placeFirstFit(
+	machines: ViewMachine[],
+	grants: Grant[],
+	specOf: (job: string) => JobSpec | undefined,
+	start = 0,
+): Placement[] {
+	const placements: Placement[] = [];
+	const order = start === 0 ? machines : [...machines.slice(start), ...machines.slice(0, start)];
+	for (const grant of grants) {
+		const spec = specOf(grant.job);
+		if (!spec) continue;
+		let left = grant.count;
+		const zones = { ...grant.zones };
+		for (const withImage of [true, false]) {
+			for (const m of order) {
+				if (left <= 0) break;
+				if (m.images.includes(spec.image) !== withImage || grant.avoid.includes(m.id)) continue;
+				const n = Math.min(left, fits(spec, m), zoneRoom(spec, zones, m.zone));
+				if (n <= 0) continue;
+				m.cpus -= n * spec.cpus;
+				m.gpus -= n * spec.gpus;
+				m.memory -= n * spec.memoryGb;
+				m.slots -= n;
+				zones[m.zone] = (zones[m.zone] ?? 0) + n;
+				left -= n;
+				placements.push({ job: grant.job, machine: m.id, count: n });
+			}
+		}
+	}
+	return placements;
+}
--- /dev/null
+++ b/src/coordination/reports.ts
@@ -0,0 +1,191 @@
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import { Machine } from "../bookkeeping/machines.js";
+import type { Order, ReportedTask, WorkerReport } from "../protocol/model.js";
+import { type Tables, taskKey } from "./tables.js";
+
+/** What a report tells about jobs and machines, for those who log and decide on it. */
+export interface Outcome {
+	attempt: Attempt;
+	cause: NonNullable<ReportedTask["cause"]>;
+}
+
+export type Applied =
+	| { kind: "applied"; machine: Machine; outcomes: Outcome[]; vanished: Attempt[]; isNew: boolean }
+	/** Older than the newest seen: changes nothing. */
+	| { kind: "old" }
+	/** Of a lease that has expired: must not be answered in a way that renews it. */
+	| { kind: "expired" }
+	| { kind: "unknown type" };
+
+/**
+ * Applies a worker's report. A worker has one report in flight, so a report with
+ * a larger (session, seq) was sent after the answer to the one before was carried
+ * out or can no longer be: what it does not list is not there.
+ */
+export function applyReport(tables: Tables, report: WorkerReport, now: number): Applied {
+	let machine = tables.machines.get(report.machine);
+	let isNew = false;
+	if (!machine) {
+		const type = tables.types.get(report.type);
+		if (!type) return { kind: "unknown type" };
+		machine = new Machine(report.machine, type, report.zone, report.spot, now);
+		tables.machines.set(machine.id, machine);
+		isNew = true;
+	}
+	if (report.session < machine.leastSession) return { kind: "expired" };
+	if (report.session < machine.session || (report.session === machine.session && report.seq <= machine.seq)) {
+		return { kind: "old" };
+	}
+	const newSession = machine.session !== 0 && report.session > machine.session;
+	machine.session = report.session;
+	machine.seq = report.seq;
+	machine.endpoint = report.endpoint;
+	machine.reportedAt = now;
+	machine.up = true;
+	machine.lost = false;
+	machine.takenAt = report.noticeS === null ? null : now + report.noticeS * 1000;
+	if (report.token === tables.epoch && !machine.confirmed) {
+		machine.confirmed = true;
+		machine.hidden = false;
+		tables.changed = true;
+	}
+
+	const outcomes: Outcome[] = [];
+	const listed = new Set<string>();
+	machine.exited = [];
+	machine.unwanted = [];
+	for (const task of report.tasks) {
+		const attempt = machine.attempts.get(taskKey(task.job, task.index));
+		if (attempt && attempt.number === task.attempt) {
+			listed.add(taskKey(task.job, task.index));
+			if (task.state === "exited") {
+				const cause = task.cause ?? "error";
+				exited(tables, machine, task);
+				if (cause === "done") tables.markDone(attempt.job, attempt.index);
+				tables.over(attempt);
+				outcomes.push({ attempt, cause });
+			} else progress(attempt, task, now);
+		} else if (task.state === "exited") {
+			exited(tables, machine, task);
+			const job = tables.jobs.get(task.job);
+			if (task.cause === "done" && job && task.index < job.spec.tasks) foundDone(tables, job, task.index);
+		} else adoptOrRefuse(tables, machine, task, now);
+	}
+
+	const vanished: Attempt[] = [];
+	for (const [key, attempt] of [...machine.attempts]) {
+		if (listed.has(key) || attempt.phase === "assigned") continue;
+		// Tasks of a lease that expired were killed. Otherwise absence counts only
+		// once older answers are known to be dead, that is, from a confirmed machine.
+		if (!newSession && !machine.confirmed) continue;
+		if (adoptedNow(attempt, report)) continue;
+		if (attempt.phase === "sent" && !newSession && attempt.stop === null) {
+			// The answer with the start was lost; it is sent again with the same number.
+			attempt.phase = "assigned";
+			continue;
+		}
+		tables.over(attempt);
+		vanished.push(attempt);
+	}
+	return { kind: "applied", machine, outcomes, vanished, isNew };
+}
+
+function adoptedNow(attempt: Attempt, report: WorkerReport): boolean {
+	return report.tasks.some(
+		(t) =>
+			t.attempt === attempt.number &&
+			t.index === attempt.index &&
+			t.job === attempt.job.id &&
+			t.state !== "exited",
+	);
+}
+
+function exited(tables: Tables, machine: Machine, task: ReportedTask): void {
+	machine.exited.push({
+		job: task.job,
+		index: task.index,
+		attempt: task.attempt,
+		done: task.cause === "done" && tables.jobs.has(task.job),
+	});
+}
+
+/** Completed under an attempt that this leader did not know; the result counts all the same. */
+function foundDone(tables: Tables, job: Job, index: number): void {
+	tables.markDone(job, index);
+	const other = job.attempts.get(index);
+	if (!other) return;
+	if (other.phase === "assigned") tables.over(other);
+	else other.stop = { graceS: 0, why: "task is done" };
+}
+
+function progress(attempt: Attempt, task: ReportedTask, now: number): void {
+	if (task.state === "exited") return;
+	attempt.phase = task.state;
+	if (task.state === "running" && attempt.runningAt === null) {
+		attempt.runningAt = now;
+		attempt.machine.sawImage(attempt.job.spec.image);
+	}
+}
+
+function adoptOrRefuse(tables: Tables, machine: Machine, task: ReportedTask, now: number): void {
+	const job = tables.jobs.get(task.job);
+	const wanted =
+		job !== undefined &&
+		task.index < job.spec.tasks &&
+		!job.done.has(task.index) &&
+		!job.attempts.has(task.index);
+	if (!wanted) {
+		machine.unwanted.push({ job: task.job, index: task.index, attempt: task.attempt });
+		return;
+	}
+	progress(tables.adopt(job, task.index, task.attempt, machine, now), task, now);
+}
+
+/** Whether the outcome of an exited attempt can no longer be lost with the machine's report. */
+function settled(tables: Tables, task: { job: string; index: number; done: boolean }): boolean {
+	if (!task.done) return true;
+	const job = tables.jobs.get(task.job);
+	return job === undefined || job.durable.has(task.index);
+}
+
+/**
+ * The orders for a report's answer. Starts go out only this way, never to
+ * /commands, where they could be carried out minutes late.
+ */
+export function ordersFor(tables: Tables, machine: Machine): Order[] {
+	const orders: Order[] = [];
+	for (const task of machine.exited) {
+		if (settled(tables, task)) {
+			orders.push({ op: "forget", job: task.job, index: task.index, attempt: task.attempt });
+		}
+	}
+	for (const task of machine.unwanted) {
+		orders.push({ op: "stop", job: task.job, index: task.index, attempt: task.attempt, graceS: 0 });
+	}
+	const starts: Order[] = [];
+	for (const attempt of [...machine.attempts.values()]) {
+		const { job, index, number } = attempt;
+		if (attempt.phase === "assigned") {
+			// Since the decision the machine may have been closed or the job ended.
+			if (!machine.open || attempt.stop !== null || job.cancelled) tables.over(attempt);
+			else {
+				attempt.phase = "sent";
+				starts.push({ op: "start", job: job.id, index, attempt: number });
+			}
+		} else if (attempt.stop !== null) {
+			orders.push({ op: "stop", job: job.id, index, attempt: number, graceS: attempt.stop.graceS });
+		}
+	}
+	return [...orders, ...starts];
+}
+
+/** Stops for /commands, which may be carried out late without harm. */
+export function stopsFor(attempts: Attempt[]): Order[] {
+	return attempts.map((a) => ({
+		op: "stop",
+		job: a.job.id,
+		index: a.index,
+		attempt: a.number,
+		graceS: a.stop?.graceS ?? 0,
+	}));
+}
--- /dev/null
+++ b/src/coordination/scaling.ts
@@ -0,0 +1,129 @@
+import { typeFits } from "../bookkeeping/jobs.js";
+import type { JobSpec, MachineType } from "../protocol/model.js";
+
+/** The hill climb's decisions, without their effects. */
+
+export interface ClimbSettings {
+	high: number;
+	low: number;
+	unit_s: number;
+	up_past: number;
+	down_at: number;
+	cap_s: number;
+}
+
+export interface Counters {
+	up: number;
+	down: number;
+}
+
+export type ClimbAction = "up" | "down" | "none";
+
+/** Remaining core seconds of a running task; its percentage is capped at 99. */
+export function remainingOfRunning(cpus: number, elapsedS: number, estimateS: number, capS: number): number {
+	const percent = estimateS > 0 ? Math.min(99, (100 * elapsedS) / estimateS) : 99;
+	return cpus * Math.min(capS, (estimateS * (100 - percent)) / 100);
+}
+
+export function remainingOfWaiting(cpus: number, estimateS: number, capS: number): number {
+	return cpus * Math.min(capS, estimateS);
+}
+
+/** Load is remaining work over machines less one half. */
+export function loadOf(work: number, machines: number): number {
+	return work / (machines - 0.5);
+}
+
+export function climb(
+	counters: Counters,
+	load: number,
+	machines: number,
+	meanCpus: number,
+	settings: ClimbSettings,
+): { counters: Counters; action: ClimbAction } {
+	const high = settings.high * meanCpus * settings.unit_s;
+	const low = settings.low * meanCpus * settings.unit_s;
+	if (load > high) {
+		const up = counters.up + Math.floor(load / high);
+		return up > settings.up_past
+			? { counters: { up: 0, down: 0 }, action: "up" }
+			: { counters: { up, down: 0 }, action: "none" };
+	}
+	if (load <= low) {
+		if (machines <= 1) return { counters: { up: 0, down: counters.down }, action: "none" };
+		const down = counters.down + 1;
+		return down >= settings.down_at
+			? { counters: { up: 0, down: 0 }, action: "down" }
+			: { counters: { up: 0, down }, action: "none" };
+	}
+	return { counters: { up: 0, down: 0 }, action: "none" };
+}
+
+/** Machines of a type needed to bring the load down to the high mark. */
+export function machinesToCut(
+	work: number,
+	machines: number,
+	cpus: number,
+	typeCpus: number,
+	settings: ClimbSettings,
+	most: number,
+): number {
+	let k = 0;
+	while (k < most) {
+		const n = machines + k;
+		if (n > 0) {
+			const mean = (cpus + k * typeCpus) / n;
+			if (loadOf(work, n) <= settings.high * mean * settings.unit_s) break;
+		}
+		k += 1;
+	}
+	return k;
+}
+
+export interface Offer {
+	type: MachineType;
+	zone: string;
+	spot: boolean;
+	price: number;
+}
+
+export function offerKey(offer: { type: MachineType; zone: string; spot: boolean }): string {
+	return `${offer.type.name}|${offer.zone}|${offer.spot ? "spot" : "ordinary"}`;
+}
+
+/** Every type, zone and kind that could hold a task of the job. */
+export function offersFor(spec: JobSpec, types: MachineType[]): Offer[] {
+	const offers: Offer[] = [];
+	for (const type of types) {
+		if (!typeFits(spec, type)) continue;
+		for (const zone of type.zones) {
+			if (spec.zone !== null && spec.zone !== zone) continue;
+			if (spec.spot) offers.push({ type, zone, spot: true, price: type.spotPrice });
+			offers.push({ type, zone, spot: false, price: type.price });
+		}
+	}
+	return offers;
+}
+
+/** Tasks of the job that a machine of the type holds at once. */
+export function tasksHeld(spec: JobSpec, type: MachineType): number {
+	let n = Math.floor(type.cpus / spec.cpus);
+	if (spec.gpus > 0) n = Math.min(n, Math.floor(type.gpus / spec.gpus));
+	if (spec.memoryGb > 0) n = Math.min(n, Math.floor(type.memoryGb / spec.memoryGb));
+	return n;
+}
+
+/**
+ * Offers by what a core that the work would use costs: a machine larger than the
+ * need is charged to the cores needed.
+ */
+export function rankOffers(offers: Offer[], spec: JobSpec, neededCpus: number): Offer[] {
+	const cost = (offer: Offer) => {
+		const usable = Math.min(tasksHeld(spec, offer.type) * spec.cpus, Math.max(neededCpus, spec.cpus));
+		return offer.price / usable;
+	};
+	return offers
+		.map((offer) => ({ offer, cost: cost(offer) }))
+		.sort((a, b) => a.cost - b.cost || b.offer.type.cpus - a.offer.type.cpus)
+		.map((x) => x.offer);
+}
--- /dev/null
+++ b/src/coordination/tables.ts
@@ -0,0 +1,196 @@
+import type { Attempt } from "../bookkeeping/jobs.js";
+import { Job } from "../bookkeeping/jobs.js";
+import { type Machine, machineAllowed } from "../bookkeeping/machines.js";
+import { Quotas, type TeamLimits } from "../bookkeeping/quotas.js";
+import type { JobSpec, MachineType } from "../protocol/model.js";
+import { zoneRoom } from "./placing.js";
+
+/** Attempts of one epoch; beyond them the leader must get itself a new epoch. */
+export const attemptsPerEpoch = 2 ** 22;
+
+export function taskKey(job: string, index: number): string {
+	return `${job}/${index}`;
+}
+
+/**
+ * What a leader knows of jobs, machines and attempts. Every start is decided
+ * here, whoever proposed it, and nothing leaves the quotas before it is proved over.
+ */
+export class Tables {
+	readonly jobs = new Map<string, Job>();
+	readonly machines = new Map<string, Machine>();
+	readonly quotas: Quotas;
+	private counter = 0;
+	/** Runs of finished tasks by machine type, to find machines that are much too slow. */
+	changed = false;
+
+	constructor(
+		readonly epoch: number,
+		teams: TeamLimits[],
+		readonly types: Map<string, MachineType>,
+	) {
+		this.quotas = new Quotas(teams);
+	}
+
+	get exhausted(): boolean {
+		return this.counter >= attemptsPerEpoch - 1;
+	}
+
+	/** Every machine that may hold tasks of an earlier leader has been heard or waited out. */
+	get rebuilt(): boolean {
+		for (const machine of this.machines.values()) if (machine.hidden) return false;
+		return true;
+	}
+
+	addJob(id: string, spec: JobSpec, at: number, revision: number): Job {
+		const job = new Job(id, spec, at, revision);
+		this.jobs.set(id, job);
+		this.changed = true;
+		return job;
+	}
+
+	private nextAttempt(): number {
+		this.counter += 1;
+		return this.epoch * attemptsPerEpoch + this.counter;
+	}
+
+	zonesOf(job: Job): Record<string, number> {
+		const zones: Record<string, number> = {};
+		for (const attempt of job.attempts.values()) {
+			zones[attempt.machine.zone] = (zones[attempt.machine.zone] ?? 0) + 1;
+		}
+		return zones;
+	}
+
+	private register(attempt: Attempt): void {
+		const { job, machine, index } = attempt;
+		job.attempts.set(index, attempt);
+		machine.hold(taskKey(job.id, index), attempt);
+		this.quotas.add(job.spec.team, job.spec.cpus, job.spec.gpus);
+	}
+
+	/** Why one more task of the job may not start on the machine now, or null. */
+	refusal(job: Job, machine: Machine): string | null {
+		const { spec } = job;
+		if (!this.rebuilt) return "not rebuilt";
+		if (job.cancelled || job.ending) return "job is over";
+		if (!machine.open) return "machine is not open";
+		if (this.exhausted) return "attempt numbers used up";
+		if (!machineAllowed(spec, machine)) return "machine not allowed";
+		const slack = 1e-6;
+		if (
+			machine.freeCpus + slack < spec.cpus ||
+			machine.freeGpus + slack < spec.gpus ||
+			machine.freeMemory + slack < spec.memoryGb
+		) {
+			return "no room";
+		}
+		if (machine.suspect && machine.attempts.size > 0) return "machine is on trial";
+		if (!this.quotas.fitsLimit(spec.team, spec.cpus, spec.gpus)) return "team is at its limit";
+		if ((spec.oneZone || spec.spread) && zoneRoom(spec, this.zonesOf(job), machine.zone) < 1) {
+			return "zone rule";
+		}
+		return null;
+	}
+
+	/** Decides to start the job's next waiting task on the machine, if every rule allows it. */
+	decide(job: Job, machine: Machine, now: number): Attempt | null {
+		if (job.waiting.length === 0 || this.refusal(job, machine) !== null) return null;
+		let index = job.waiting.pop() as number;
+		while (job.done.has(index) || job.attempts.has(index)) {
+			const next = job.waiting.pop();
+			if (next === undefined) return null;
+			index = next;
+		}
+		const attempt: Attempt = {
+			job,
+			index,
+			number: this.nextAttempt(),
+			machine,
+			phase: "assigned",
+			decidedAt: now,
+			runningAt: null,
+			stop: null,
+		};
+		this.register(attempt);
+		return attempt;
+	}
+
+	/** Takes over an attempt of an earlier leader that a worker has listed. */
+	adopt(job: Job, index: number, number: number, machine: Machine, now: number): Attempt {
+		const attempt: Attempt = {
+			job,
+			index,
+			number,
+			machine,
+			phase: "sent",
+			decidedAt: now,
+			runningAt: null,
+			stop: null,
+		};
+		const at = job.waiting.indexOf(index);
+		if (at >= 0) job.waiting.splice(at, 1);
+		this.register(attempt);
+		return attempt;
+	}
+
+	/** The attempt is proved over: it frees its place, and the task waits again unless done. */
+	over(attempt: Attempt): void {
+		const { job, machine, index } = attempt;
+		if (job.attempts.get(index) !== attempt) return;
+		job.attempts.delete(index);
+		machine.release(taskKey(job.id, index), attempt);
+		this.quotas.remove(job.spec.team, job.spec.cpus, job.spec.gpus);
+		if (!job.cancelled && !job.done.has(index)) job.waiting.push(index);
+		this.changed = true;
+	}
+
+	markDone(job: Job, index: number): void {
+		if (job.done.add(index)) {
+			job.dirty = true;
+			this.changed = true;
+		}
+	}
+
+	/** The job has ended in the store: nothing of it may start, and what runs is not wanted. */
+	endJob(job: Job): Attempt[] {
+		job.cancelled = true;
+		job.waiting.length = 0;
+		this.jobs.delete(job.id);
+		const still: Attempt[] = [];
+		for (const attempt of [...job.attempts.values()]) {
+			if (attempt.phase === "assigned") this.over(attempt);
+			else {
+				attempt.stop = { graceS: 0, why: "job is over" };
+				still.push(attempt);
+			}
+		}
+		this.changed = true;
+		return still;
+	}
+
+	/** Everything on the machine is certainly gone. */
+	clearMachine(machine: Machine): number {
+		const all = [...machine.attempts.values()];
+		for (const attempt of all) this.over(attempt);
+		machine.hidden = false;
+		machine.exited = [];
+		machine.unwanted = [];
+		return all.length;
+	}
+
+	/** Its lease has certainly expired; it may come back, but only with a later session. */
+	expire(machine: Machine): number {
+		machine.lost = true;
+		machine.confirmed = false;
+		if (machine.session > 0) machine.leastSession = machine.session + 1;
+		return this.clearMachine(machine);
+	}
+
+	removeMachine(machine: Machine): number {
+		const n = this.clearMachine(machine);
+		this.machines.delete(machine.id);
+		this.changed = true;
+		return n;
+	}
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,130 @@
+#!/usr/bin/env node
+import { randomBytes } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { Command, CommanderError } from "commander";
+import { pino } from "pino";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Controller } from "./coordination/controller.js";
+import type { TimePort } from "./coordination/ports.js";
+import { defaultOperator, parseOperator } from "./protocol/operator.js";
+import { parsePlatform, readText, SettingsError } from "./protocol/settings.js";
+import { CloudClient } from "./transport/cloud-client.js";
+import { frontApp, listenFront } from "./transport/front-server.js";
+import { PeerLinks } from "./transport/peer-link.js";
+import { StoreClient } from "./transport/store-client.js";
+import { WorkerClient } from "./transport/worker-client.js";
+
+const levels = ["fatal", "error", "warn", "info", "debug", "trace", "silent"];
+
+function version(): string {
+	const file = new URL("../package.json", import.meta.url);
+	return (JSON.parse(readFileSync(file, "utf8")) as { version: string }).version;
+}
+
+function split(address: string): { host: string; port: number } {
+	const at = address.lastIndexOf(":");
+	return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+const steadyTime: TimePort = {
+	now: () => performance.now(),
+	date: () => new Date(),
+	after: (ms, run) => {
+		const timer = setTimeout(run, ms);
+		return { cancel: () => clearTimeout(timer) };
+	},
+};
+
+async function main(argv: string[]): Promise<void> {
+	const program = new Command("ramphub")
+		.description("A cluster scheduler: takes jobs, rents machines and decides what runs where.")
+		.requiredOption("--config <file>", "the platform's settings (TOML)")
+		.option("--operator <file>", "operators' own settings (YAML)")
+		.option("--check", "check the settings and exit")
+		.version(version())
+		.exitOverride();
+	program.parse(argv);
+	const options = program.opts<{ config: string; operator?: string; check?: boolean }>();
+
+	const platform = parsePlatform(options.config, readText(options.config));
+	const operator =
+		options.operator === undefined
+			? defaultOperator()
+			: await parseOperator(options.operator, readText(options.operator));
+	if (options.check) {
+		process.stdout.write(`${options.config}: settings are good\n`);
+		return;
+	}
+
+	const level = process.env.LOG_LEVEL ?? "info";
+	const log = pino(
+		{ level: levels.includes(level) ? level : "info", base: { node: platform.node } },
+		pino.destination({ fd: 2, sync: true }),
+	);
+	// A fault in one request or answer must not end the process.
+	process.on("uncaughtException", (error) =>
+		log.error({ err: error.message, stack: error.stack }, "uncaught"),
+	);
+	process.on("unhandledRejection", (error) =>
+		log.error({ err: String(error), stack: error instanceof Error ? error.stack : undefined }, "unhandled"),
+	);
+
+	const { cluster, endpoints } = platform;
+	const seed = randomBytes(4).readInt32LE(0);
+	const store = new StoreClient(endpoints.state, cluster.state.rps, cluster.state.write_rps, cluster.nodes);
+	const peers = new PeerLinks(
+		platform.node,
+		platform.others,
+		(from, m) => controller.peerMessage(from, m),
+		log,
+	);
+	const controller = new Controller(platform, operator, randomBytes(6).toString("hex"), {
+		store,
+		cloud: new CloudClient(endpoints.cloud, cluster.cloud.rps),
+		workers: new WorkerClient(),
+		peers,
+		time: steadyTime,
+		log,
+		random: xoroshiro128plus(seed),
+		schedule: setImmediate,
+	});
+
+	const app = frontApp(
+		{
+			submit: (spec) => controller.desk.submit(spec),
+			look: (id) => controller.desk.look(id),
+			abort: (id) => controller.desk.abort(id),
+			report: (report) => controller.report(report),
+			ready: () => controller.ready(),
+		},
+		log,
+	);
+	const front = split(platform.front);
+	const back = split(platform.back);
+	// Sockets are kept back for the store, the cloud, workers and the other controllers.
+	const sockets = Math.max(16, Math.floor(cluster.resources.fd_limit * 0.8) - 60);
+	const server = await listenFront(app, front.host, front.port, sockets, log);
+	await peers.listen(back.host, back.port);
+	controller.start();
+	log.info({ front: platform.front, back: platform.back, version: version() }, "started");
+
+	const stop = () => {
+		log.info({}, "stopping");
+		controller.stop();
+		server.close();
+		peers.close();
+		setTimeout(() => process.exit(0), 200);
+	};
+	process.once("SIGTERM", stop);
+	process.once("SIGINT", stop);
+}
+
+main(process.argv).catch((error) => {
+	if (error instanceof CommanderError) process.exit(error.exitCode === 0 ? 0 : 2);
+	if (error instanceof SettingsError) {
+		process.stderr.write(`ramphub: ${error.message}\n`);
+		process.exit(2);
+	}
+	process.stderr.write(`ramphub: ${error instanceof Error ? error.message : error}\n`);
+	process.exit(1);
+});
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,104 @@
+import { readFileSync } from "node:fs";
+import { parse as parseToml } from "smol-toml";
+import * as v from "valibot";
+
+/** What the platform hands over in its TOML file. Unknown fields are ignored. */
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const count = v.pipe(v.number(), v.integer(), v.minValue(1));
+const text = v.pipe(v.string(), v.nonEmpty());
+const address = v.pipe(v.string(), v.regex(/^\S+:\d{1,5}$/, "expected an address such as 10.0.0.1:8080"));
+
+const Team = v.object({
+	name: text,
+	cpus: amount,
+	cpus_max: amount,
+	gpus: v.optional(amount, 0),
+	gpus_max: v.optional(amount, 0),
+});
+
+const Objective = v.object({
+	kind: v.string(),
+	class: v.optional(v.string()),
+	within_s: v.optional(v.number()),
+	share: v.optional(v.number()),
+	times: v.optional(v.number()),
+});
+
+const Platform = v.object({
+	node: text,
+	domain: text,
+	front: address,
+	back: address,
+	others: v.optional(v.array(v.object({ node: text, domain: text, addr: address })), []),
+	endpoints: v.object({ cloud: address, state: address }),
+	cluster: v.object({
+		nodes: v.optional(count, 1),
+		zones: v.optional(v.array(text), []),
+		clock_off_ms: v.optional(amount, 0),
+		teams: v.optional(v.array(Team), []),
+		objectives: v.optional(v.array(Objective), []),
+		workers: v.object({
+			report_s: positive,
+			lease_s: positive,
+			cancel_s: positive,
+		}),
+		state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+		cloud: v.object({ rps: positive, list_lag_s: amount }),
+		resources: v.optional(
+			v.object({
+				cores: v.optional(positive),
+				ram_mb: v.optional(positive),
+				fd_limit: v.optional(count, 1000),
+			}),
+			{},
+		),
+	}),
+});
+
+export type PlatformSettings = v.InferOutput<typeof Platform>;
+export type TeamSettings = v.InferOutput<typeof Team>;
+
+/** A settings file that cannot be used; the message names file, field and what is expected. */
+export class SettingsError extends Error {}
+
+export function readText(file: string): string {
+	try {
+		return readFileSync(file, "utf8");
+	} catch (error) {
+		throw new SettingsError(`${file}: cannot be read (${(error as NodeJS.ErrnoException).code ?? error})`);
+	}
+}
+
+export function checkSchema<T extends v.GenericSchema>(
+	file: string,
+	schema: T,
+	input: unknown,
+): v.InferOutput<T> {
+	const result = v.safeParse(schema, input, { abortEarly: true });
+	if (result.success) return result.output;
+	const issue = result.issues[0];
+	const path = v.getDotPath(issue);
+	throw new SettingsError(`${file}: ${path ? `field "${path}"` : "top level"}: ${issue.message}`);
+}
+
+export function parsePlatform(file: string, source: string): PlatformSettings {
+	let raw: unknown;
+	try {
+		raw = parseToml(source);
+	} catch (error) {
+		throw new SettingsError(`${file}: not TOML: ${(error as Error).message.split("\n")[0]}`);
+	}
+	const settings = checkSchema(file, Platform, raw);
+	const names = new Set<string>();
+	settings.cluster.teams.forEach((team, i) => {
+		if (names.has(team.name)) {
+			throw new SettingsError(`${file}: field "cluster.teams.${i}.name": "${team.name}" is named twice`);
+		}
+		names.add(team.name);
+		if (team.cpus > team.cpus_max || team.gpus > team.gpus_max) {
+			throw new SettingsError(`${file}: field "cluster.teams.${i}": the guarantee must not exceed the limit`);
+		}
+	});
+	return settings;
+}
--- /dev/null
+++ b/src/transport/cloud-client.ts
@@ -0,0 +1,69 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { CallFailed, type CloudPort } from "../coordination/ports.js";
+import type { ListedMachine, MachineType } from "../protocol/model.js";
+import {
+	listedFrom,
+	listPath,
+	machineTypesFrom,
+	paths,
+	type RentRequest,
+	rentBody,
+	rentedFrom,
+	returnBody,
+} from "../protocol/wire.js";
+import { expectStatus, HttpClient } from "./http-client.js";
+import { TokenBucket } from "./token-bucket.js";
+
+const callMs = 4000;
+
+/** The cloud's API. Only the leader calls it, so one node may use nearly all of the rate. */
+export class CloudClient implements CloudPort {
+	private readonly http: HttpClient;
+	private readonly bucket: TokenBucket;
+	private readonly reserve: number;
+
+	constructor(address: string, rps: number) {
+		this.http = new HttpClient(address, 8);
+		this.bucket = new TokenBucket(rps * 0.9, Math.max(1, rps * 1.5), () => performance.now());
+		this.reserve = Math.min(1, rps * 0.5);
+	}
+
+	/** Renting and returning come before listing, which leaves a reserve to them. */
+	private async admit(reserve: number): Promise<void> {
+		if (this.bucket.take(1, reserve)) return;
+		const wait = this.bucket.waitMs(1, reserve);
+		if (wait < 1000) {
+			await delay(wait + 1);
+			if (this.bucket.take(1, reserve)) return;
+		}
+		throw new CallFailed("refused", 429, "own share of the cloud's rate is used up");
+	}
+
+	async machineTypes(): Promise<MachineType[]> {
+		await this.admit(this.reserve);
+		const answer = await this.http.call("GET", paths.machineTypes, undefined, callMs);
+		return machineTypesFrom(expectStatus(answer, "machine types", 200));
+	}
+
+	async rent(request: RentRequest): Promise<string[]> {
+		await this.admit(0);
+		const answer = await this.http.call("POST", paths.machines, rentBody(request), callMs);
+		return rentedFrom(expectStatus(answer, "rental", 200, 201));
+	}
+
+	async giveBack(machines: string[]): Promise<void> {
+		await this.admit(0);
+		const answer = await this.http.call("POST", paths.machinesReturn, returnBody(machines), callMs);
+		expectStatus(answer, "return", 200);
+	}
+
+	async list(after: string): Promise<{ machines: ListedMachine[]; more: boolean }> {
+		await this.admit(this.reserve);
+		const answer = await this.http.call("GET", listPath(after, 500), undefined, callMs);
+		return listedFrom(expectStatus(answer, "list", 200));
+	}
+
+	close(): void {
+		this.http.close();
+	}
+}
--- /dev/null
+++ b/src/transport/front-server.ts
@@ -0,0 +1,177 @@
+import { createAdaptorServer } from "@hono/node-server";
+import { Hono } from "hono";
+import type { Log } from "../coordination/ports.js";
+import type { JobSpec, JobStatus, Order, WorkerReport } from "../protocol/model.js";
+import {
+	elsewhereBody,
+	isJobId,
+	jobAnswer,
+	Malformed,
+	ordersBody,
+	parseJob,
+	parseReport,
+	paths,
+} from "../protocol/wire.js";
+
+const maxBody = 64 * 1024;
+
+export type SubmitResult =
+	| { kind: "accepted" | "known"; status: JobStatus }
+	| { kind: "impossible"; reason: string }
+	| { kind: "later"; reason: string };
+
+export type LookResult =
+	| { kind: "job"; status: JobStatus; done: number; running: number }
+	| { kind: "unknown" }
+	| { kind: "later"; reason: string };
+
+export type AbortResult =
+	| { kind: "job"; status: JobStatus }
+	| { kind: "unknown" }
+	| { kind: "later"; reason: string };
+
+export type ReportResult =
+	| { kind: "orders"; token: number; orders: Order[] }
+	| { kind: "elsewhere"; node: string | null };
+
+/** What the front needs of the service behind it. */
+export interface Service {
+	submit(spec: JobSpec): Promise<SubmitResult>;
+	look(id: string): Promise<LookResult>;
+	abort(id: string): Promise<AbortResult>;
+	report(report: WorkerReport): Promise<ReportResult>;
+	ready(): boolean;
+}
+
+/** Reads a body within the bound; null when it is larger. */
+async function bodyText(request: Request): Promise<string | null> {
+	const declared = Number(request.headers.get("content-length") ?? "0");
+	if (declared > maxBody) return null;
+	if (request.headers.has("transfer-encoding")) {
+		const parts: Uint8Array[] = [];
+		let size = 0;
+		const reader = request.body?.getReader();
+		while (reader) {
+			const { done, value } = await reader.read();
+			if (done) break;
+			size += value.length;
+			if (size > maxBody) {
+				await reader.cancel();
+				return null;
+			}
+			parts.push(value);
+		}
+		return Buffer.concat(parts).toString("utf8");
+	}
+	return request.text();
+}
+
+export function frontApp(service: Service, log: Log): Hono {
+	const app = new Hono();
+	const later = (reason: string) =>
+		Response.json({ error: reason }, { status: 503, headers: { "retry-after": "1" } });
+	const failure = (status: number, error: string, headers?: Record<string, string>) =>
+		Response.json({ error }, { status, headers });
+	const tooLarge = () => failure(413, `the body is larger than ${maxBody} bytes`);
+	const wrongMethod = (allow: string) => () =>
+		failure(405, `the method is not allowed here, use ${allow}`, { allow });
+
+	app.get(paths.ready, () =>
+		service.ready() ? Response.json({ ready: true }) : later("the node is starting"),
+	);
+
+	app.post(paths.report, async (c) => {
+		const body = await bodyText(c.req.raw);
+		if (body === null) return tooLarge();
+		const result = await service.report(parseReport(body));
+		if (result.kind === "elsewhere") {
+			return Response.json(elsewhereBody(result.node), { status: 421 });
+		}
+		return Response.json(ordersBody(result.token, result.orders));
+	});
+
+	app.post(paths.jobs, async (c) => {
+		const body = await bodyText(c.req.raw);
+		if (body === null) return tooLarge();
+		const spec = parseJob(body);
+		const result = await service.submit(spec);
+		switch (result.kind) {
+			case "accepted":
+				return Response.json(jobAnswer(spec.id, result.status), { status: 201 });
+			case "known":
+				return Response.json(jobAnswer(spec.id, result.status));
+			case "impossible":
+				return failure(422, result.reason);
+			case "later":
+				return later(result.reason);
+		}
+	});
+
+	app.get(`${paths.jobs}/:id`, async (c) => {
+		const id = c.req.param("id");
+		if (!isJobId(id)) return failure(404, "there is no such job");
+		const result = await service.look(id);
+		if (result.kind === "unknown") return failure(404, "there is no such job");
+		if (result.kind === "later") return later(result.reason);
+		return Response.json(jobAnswer(id, result.status, { done: result.done, running: result.running }));
+	});
+
+	app.post(`${paths.jobs}/:id/abort`, async (c) => {
+		const id = c.req.param("id");
+		if (!isJobId(id)) return failure(404, "there is no such job");
+		const result = await service.abort(id);
+		if (result.kind === "unknown") return failure(404, "there is no such job");
+		if (result.kind === "later") return later(result.reason);
+		return Response.json(jobAnswer(id, result.status));
+	});
+
+	app.all(paths.ready, wrongMethod("GET"));
+	app.all(paths.report, wrongMethod("POST"));
+	app.all(paths.jobs, wrongMethod("POST"));
+	app.all(`${paths.jobs}/:id`, wrongMethod("GET"));
+	app.all(`${paths.jobs}/:id/abort`, wrongMethod("POST"));
+	app.notFound(() => failure(404, "there is nothing at this path"));
+	app.onError((error) => {
+		if (error instanceof Malformed) return failure(400, error.message);
+		log.error({ err: error.message, stack: error.stack }, "request failed");
+		return later("the request could not be handled");
+	});
+	return app;
+}
+
+export interface Front {
+	port: number;
+	close(): void;
+}
+
+export async function listenFront(
+	app: Hono,
+	host: string,
+	port: number,
+	maxConnections: number,
+	log: Log,
+): Promise<Front> {
+	const server = createAdaptorServer({ fetch: app.fetch }) as import("node:http").Server;
+	// Idle and half-open connections must not use up the sockets.
+	server.keepAliveTimeout = 65_000;
+	server.headersTimeout = 10_000;
+	server.requestTimeout = 15_000;
+	server.maxConnections = maxConnections;
+	await new Promise<void>((resolve, reject) => {
+		server.once("error", reject);
+		server.listen(port, host, resolve);
+	});
+	server.on("error", (error) => log.error({ err: error.message }, "front listener"));
+	server.on("clientError", (_error, socket) => {
+		if (socket.writable) socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+		else socket.destroy();
+	});
+	const address = server.address();
+	return {
+		port: typeof address === "object" && address ? address.port : port,
+		close: () => {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/transport/http-client.ts
@@ -0,0 +1,88 @@
+import { Agent, request } from "node:http";
+import { CallFailed } from "../coordination/ports.js";
+
+export interface Answer {
+	status: number;
+	body: unknown;
+}
+
+/** One outside system reached over kept-open connections; every call has a deadline. */
+export class HttpClient {
+	private readonly agent: Agent;
+	private readonly host: string;
+	private readonly port: number;
+
+	constructor(address: string, maxSockets: number) {
+		const at = address.lastIndexOf(":");
+		this.host = address.slice(0, at);
+		this.port = Number(address.slice(at + 1));
+		this.agent = new Agent({ keepAlive: true, maxSockets, maxFreeSockets: 4, scheduling: "lifo" });
+	}
+
+	call(method: string, path: string, body: unknown, deadlineMs: number): Promise<Answer> {
+		return new Promise((resolve, reject) => {
+			const payload = body === undefined ? undefined : JSON.stringify(body);
+			const headers: Record<string, string | number> = {};
+			if (payload !== undefined) {
+				headers["content-type"] = "application/json";
+				headers["content-length"] = Buffer.byteLength(payload);
+			}
+			let connected = false;
+			let settled = false;
+			const fail = (message: string) => {
+				if (settled) return;
+				settled = true;
+				clearTimeout(timer);
+				// Nothing was sent as long as no connection was made, so nothing can be executed later.
+				reject(new CallFailed(connected ? "unknown" : "refused", 0, `${method} ${path}: ${message}`));
+				req.destroy();
+			};
+			const req = request(
+				{ host: this.host, port: this.port, method, path, headers, agent: this.agent },
+				(res) => {
+					const chunks: Buffer[] = [];
+					res.on("data", (chunk: Buffer) => chunks.push(chunk));
+					res.on("error", (error) => fail(error.message));
+					res.on("aborted", () => fail("connection closed within the answer"));
+					res.on("end", () => {
+						if (settled) return;
+						settled = true;
+						clearTimeout(timer);
+						const text = Buffer.concat(chunks).toString("utf8");
+						try {
+							resolve({ status: res.statusCode ?? 0, body: text === "" ? null : JSON.parse(text) });
+						} catch {
+							reject(new CallFailed("unknown", res.statusCode ?? 0, `${method} ${path}: answer is not JSON`));
+						}
+					});
+				},
+			);
+			req.on("socket", (socket) => {
+				if (socket.connecting) {
+					socket.once("connect", () => {
+						connected = true;
+						socket.setNoDelay(true);
+					});
+				} else connected = true;
+			});
+			req.on("error", (error) => fail(error.message));
+			const timer = setTimeout(() => fail("no answer in time"), deadlineMs);
+			req.end(payload);
+		});
+	}
+
+	close(): void {
+		this.agent.destroy();
+	}
+}
+
+/** Turns any answer but those expected into a failure of the right kind. */
+export function expectStatus(answer: Answer, what: string, ...good: number[]): unknown {
+	if (good.includes(answer.status)) return answer.body;
+	const refused = answer.status === 429 || answer.status === 503;
+	throw new CallFailed(
+		refused ? "refused" : answer.status >= 500 ? "unknown" : "rejected",
+		answer.status,
+		`${what}: status ${answer.status}`,
+	);
+}
--- /dev/null
+++ b/src/transport/store-client.ts
@@ -0,0 +1,130 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { CallFailed, type StorePort, type TransactionResult, type Urgency } from "../coordination/ports.js";
+import {
+	epochFrom,
+	eventsFrom,
+	failedFrom,
+	leaseFrom,
+	paths,
+	rowFrom,
+	rowsFrom,
+	rowsPath,
+	type StoreChange,
+	type StoreCondition,
+	type StoreEvent,
+	type StoreRow,
+	transactionBody,
+	watchPath,
+} from "../protocol/wire.js";
+import { expectStatus, HttpClient } from "./http-client.js";
+import { TokenBucket } from "./token-bucket.js";
+
+const callMs = 1500;
+const watchSlackMs = 3000;
+
+/** The state service. Rates are a node's share of limits that all nodes draw on. */
+export class StoreClient implements StorePort {
+	private readonly http: HttpClient;
+	private readonly requests: TokenBucket;
+	private readonly writes: TokenBucket;
+	private readonly writeReserve: number;
+
+	constructor(address: string, rps: number, writeRps: number, nodes: number) {
+		this.http = new HttpClient(address, 40);
+		const now = () => performance.now();
+		// One node may be busier than the others, so a share is somewhat more than an equal part;
+		// what is over the common limit comes back as 429 and is tried again by the caller.
+		const share = nodes > 1 ? 1.4 / nodes : 0.9;
+		this.requests = new TokenBucket(rps * share, rps * share, now);
+		this.writes = new TokenBucket(writeRps * share, writeRps * share, now);
+		this.writeReserve = writeRps * share * 0.5;
+	}
+
+	private async admit(bucket: TokenBucket, n: number, reserve: number, waitMs: number): Promise<void> {
+		if (bucket.take(n, reserve)) return;
+		const wait = bucket.waitMs(n, reserve);
+		if (wait <= waitMs) {
+			await delay(wait + 1);
+			if (bucket.take(n, reserve)) return;
+		}
+		throw new CallFailed("refused", 429, "own share of the state service's rate is used up");
+	}
+
+	async read(key: string): Promise<{ row: StoreRow | null; epoch: number }> {
+		await this.admit(this.requests, 1, 0, 300);
+		const answer = await this.http.call("GET", `${paths.store}/${key}`, undefined, callMs);
+		const body = expectStatus(answer, "read", 200, 404);
+		return answer.status === 200 ? { row: rowFrom(body), epoch: -1 } : { row: null, epoch: epochFrom(body) };
+	}
+
+	async rows(prefix: string): Promise<{ rows: StoreRow[]; epoch: number }> {
+		const all: StoreRow[] = [];
+		let after: string | null = null;
+		let first = -1;
+		for (;;) {
+			await this.admit(this.requests, 1, 0, 1000);
+			const answer = await this.http.call("GET", rowsPath(prefix, after, 200), undefined, 4000);
+			const { rows, more, epoch } = rowsFrom(expectStatus(answer, "rows", 200));
+			// Later pages may hold later changes; a watch from the first page's epoch repeats those.
+			if (first < 0) first = epoch;
+			all.push(...rows);
+			const last = rows.at(-1);
+			if (!more || !last) return { rows: all, epoch: first };
+			after = last.key;
+		}
+	}
+
+	async transact(
+		conditions: StoreCondition[],
+		changes: StoreChange[],
+		urgency: Urgency,
+	): Promise<TransactionResult> {
+		const reserve = urgency === "first" ? 0 : urgency === "normal" ? 1 : this.writeReserve;
+		await this.admit(this.writes, Math.max(changes.length, 0), reserve, urgency === "first" ? 1000 : 200);
+		await this.admit(this.requests, 1, 0, 300);
+		const answer = await this.http.call(
+			"POST",
+			paths.transaction,
+			transactionBody(conditions, changes),
+			callMs,
+		);
+		const body = expectStatus(answer, "transaction", 200, 409);
+		return answer.status === 200
+			? { ok: true, epoch: epochFrom(body) }
+			: { ok: false, failed: failedFrom(body), epoch: epochFrom(body) };
+	}
+
+	async grantLease(ttlMs: number): Promise<number> {
+		const answer = await this.http.call("POST", paths.leases, { ttl_ms: ttlMs }, callMs);
+		return leaseFrom(expectStatus(answer, "lease", 200, 201));
+	}
+
+	async renewLease(lease: number): Promise<void> {
+		const answer = await this.http.call("POST", `${paths.leases}/${lease}/renew`, {}, 1000);
+		expectStatus(answer, "renewal", 200, 204);
+	}
+
+	async endLease(lease: number): Promise<void> {
+		const answer = await this.http.call("DELETE", `${paths.leases}/${lease}`, undefined, callMs);
+		expectStatus(answer, "end of lease", 200, 204, 404);
+	}
+
+	async watch(
+		prefix: string,
+		from: number,
+		waitMs: number,
+	): Promise<{ events: StoreEvent[]; epoch: number }> {
+		await this.admit(this.requests, 1, 0, 300);
+		const answer = await this.http.call(
+			"GET",
+			watchPath(prefix, from, waitMs),
+			undefined,
+			waitMs + (waitMs === 0 ? callMs : watchSlackMs),
+		);
+		return eventsFrom(expectStatus(answer, "watch", 200));
+	}
+
+	close(): void {
+		this.http.close();
+	}
+}
