--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -77,17 +77,27 @@
 
 	// --- the hill climb ---
 
+	/**
+	 * Remaining work of all live jobs. A team's limit bounds how fast its work can
+	 * be done, whatever is rented, so a team counts at most for as many cores as its
+	 * limit allows, each loaded to the high mark.
+	 */
 	remainingWork(now: number): number {
-		const cap = this.settings.climb.cap_s;
-		let work = 0;
+		const { cap_s: cap, high, unit_s } = this.settings.climb;
+		const byTeam = new Map<string, number>();
 		for (const job of this.tables.jobs.values()) {
 			// Work that fails wherever it goes must not rent machines.
 			if (job.doomed) continue;
 			const estimate = job.estimateS;
-			work += job.waiting.length * remainingOfWaiting(job.spec.cpus, estimate, cap);
+			let work = job.waiting.length * remainingOfWaiting(job.spec.cpus, estimate, cap);
 			for (const attempt of job.attempts.values()) work += remainingOf(attempt, now, estimate, cap);
+			byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + work);
 		}
-		return work;
+		let sum = 0;
+		for (const [team, work] of byTeam) {
+			sum += Math.min(work, (this.tables.quotas.team(team)?.cpus_max ?? 0) * high * unit_s);
+		}
+		return sum;
 	}
 
 	/** Cores that the teams' limits let the present work use at once. */
@@ -110,7 +120,8 @@
 		const work = this.remainingWork(now);
 		const oldest = this.oldestWaiting(now);
 		if (n === 0) {
-			if (!this.unmark()) this.rentFor(oldest, work, n, cpus, now);
+			// With nothing to run, no machine is kept; the first job to wait rents one.
+			if (oldest && !this.unmark()) this.rentFor(oldest, work, n, cpus, now);
 			return;
 		}
 		const unheld = this.unheldJob(counted, now);
@@ -118,7 +129,13 @@
 			this.rentFor(unheld, 0, n, cpus, now);
 			return;
 		}
-		const { counters, action } = climb(this.counters, loadOf(work, n), n, cpus / n, this.settings.climb);
+		const { counters, action } = climb(
+			this.counters,
+			loadOf(work, n),
+			this.tables.jobs.size === 0 ? n + 1 : n,
+			cpus / n,
+			this.settings.climb,
+		);
 		this.counters = counters;
 		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action }, "round");
 		if (action === "up") {
@@ -222,7 +239,7 @@
 					const now = this.time.now();
 					for (const id of ids) this.expect(id, rental, now);
 					this.log.info({ ...request, got: ids.length }, "rented");
-					if (ids.length < request.count) this.refused(rental, now);
+					if (ids.length < request.count) this.refusedSo(rental, now);
 				}),
 			(error) =>
 				this.hooks.post(() => {
@@ -230,11 +247,8 @@
 					const failure = error instanceof CallFailed ? error : null;
 					if (failure?.kind === "refused" && failure.status === 503) {
 						this.rental = null;
-						this.refused(rental, now);
 						this.log.debug({ ...request }, "no capacity");
-						// Another type, zone or kind is asked for without waiting for the next round.
-						this.nextRound = Math.min(this.nextRound, now + 50);
-						this.counters.up = this.settings.climb.up_past;
+						this.refusedSo(rental, now);
 					} else if (failure?.kind === "rejected" || now - rental.firstSentAt > rentalTriesMs) {
 						this.rental = null;
 						this.refused(rental, now);
@@ -252,6 +266,13 @@
 		);
 	}
 
+	/** What one offer could not give is asked of the next without waiting for another round. */
+	private refusedSo(rental: Rental, now: number): void {
+		this.refused(rental, now);
+		this.nextRound = Math.min(this.nextRound, now + 50);
+		this.counters.up = this.settings.climb.up_past;
+	}
+
 	private refused(rental: Rental, now: number): void {
 		const { zone, spot } = rental.request;
 		this.refusedUntil.set(
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -522,10 +522,12 @@
 				this.heardFrom.delete(node);
 			}
 		}
+		// Cheap cores fill first, so that dear machines are the ones to run empty and go back.
 		const open = [...this.tables.machines.values()].filter((m) => m.open && m.freeCpus > 0);
 		if (open.length === 0) return;
-		const views = sampled(open, this.settings.placing.sample, this.ports.random).map(viewOf);
-		views.sort((a, b) => b.cpus - a.cpus);
+		const views = sampled(open, this.settings.placing.sample, this.ports.random)
+			.sort((a, b) => pricePerCpu(a) - pricePerCpu(b) || b.freeCpus - a.freeCpus)
+			.map(viewOf);
 		const grants = this.grants(views, now);
 		if (grants.length === 0) return;
 		const live = this.livePlacers(now);
@@ -625,6 +627,10 @@
 	return n;
 }
 
+function pricePerCpu(machine: Machine): number {
+	return (machine.spot ? machine.type.spotPrice : machine.type.price) / machine.type.cpus;
+}
+
 function dueAt(job: Job): number {
 	return job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.at + job.spec.deadlineS * 1000;
 }
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -12,13 +12,13 @@
 			/** Seconds between rounds of the hill climb. */
 			round_s: v.optional(positive, 1),
 			/** The paper's marks are machine cores times this many seconds times a factor. */
-			unit_s: v.optional(positive, 40),
+			unit_s: v.optional(positive, 20),
 			high: v.optional(positive, 1.2),
-			low: v.optional(positive, 0.6),
+			low: v.optional(positive, 0.4),
 			/** The up counter acts when it is past this. */
 			up_past: v.optional(amount, 3),
 			/** The down counter acts when it reaches this. */
-			down_at: v.optional(whole, 5),
+			down_at: v.optional(whole, 3),
 			/** Remaining work counts at most this many seconds per core. */
 			cap_s: v.optional(positive, 600),
 			/** How long a refused type, zone and kind is not asked for again. */
