--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,5 @@
 #!/usr/bin/env node
 import { randomBytes } from "node:crypto";
-import { readFileSync } from "node:fs";
 import { Command, CommanderError } from "commander";
 import { pino } from "pino";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -13,14 +12,10 @@
 import { PeerLinks } from "./transport/peer-link.js";
 import { StoreClient } from "./transport/store-client.js";
 import { WorkerClient } from "./transport/worker-client.js";
+import { version } from "./version.js";
 
 const levels = ["fatal", "error", "warn", "info", "debug", "trace", "silent"];
 
-function version(): string {
-	const file = new URL("../package.json", import.meta.url);
-	return (JSON.parse(readFileSync(file, "utf8")) as { version: string }).version;
-}
-
 function split(address: string): { host: string; port: number } {
 	const at = address.lastIndexOf(":");
 	return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
@@ -41,7 +36,7 @@
 		.requiredOption("--config <file>", "the platform's settings (TOML)")
 		.option("--operator <file>", "operators' own settings (YAML)")
 		.option("--check", "check the settings and exit")
-		.version(version())
+		.version(version)
 		.exitOverride();
 	program.parse(argv);
 	const options = program.opts<{ config: string; operator?: string; check?: boolean }>();
@@ -106,7 +101,7 @@
 	const server = await listenFront(app, front.host, front.port, sockets, log);
 	await peers.listen(back.host, back.port);
 	controller.start();
-	log.info({ front: platform.front, back: platform.back, version: version() }, "started");
+	log.info({ front: platform.front, back: platform.back, version: version }, "started");
 
 	const stop = () => {
 		log.info({}, "stopping");
