--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -77,13 +77,30 @@
 
 	// --- the hill climb ---
 
+	/**
+	 * Seconds of work that a busy core has left on the average: half an estimated
+	 * run of the present tasks. The marks are multiples of it, so that they mean the
+	 * same for tasks of seconds and of hours.
+	 */
+	unitS(): number {
+		let cpus = 0;
+		let sum = 0;
+		for (const job of this.tables.jobs.values()) {
+			if (job.doomed) continue;
+			const share = (job.waiting.length + job.attempts.size) * job.spec.cpus;
+			cpus += share;
+			sum += share * Math.min(job.estimateS, this.settings.climb.cap_s);
+		}
+		return cpus > 0 ? Math.max(1, sum / cpus / 2) : 1;
+	}
+
 	/**
 	 * Remaining work of all live jobs. A team's limit bounds how fast its work can
 	 * be done, whatever is rented, so a team counts at most for as many cores as its
 	 * limit allows, each loaded to the high mark.
 	 */
-	remainingWork(now: number): number {
-		const { cap_s: cap, high, unit_s } = this.settings.climb;
+	remainingWork(now: number, unitS: number): number {
+		const { cap_s: cap, high } = this.settings.climb;
 		const byTeam = new Map<string, number>();
 		for (const job of this.tables.jobs.values()) {
 			// Work that fails wherever it goes must not rent machines.
@@ -95,7 +112,7 @@
 		}
 		let sum = 0;
 		for (const [team, work] of byTeam) {
-			sum += Math.min(work, (this.tables.quotas.team(team)?.cpus_max ?? 0) * high * unit_s);
+			sum += Math.min(work, (this.tables.quotas.team(team)?.cpus_max ?? 0) * high * unitS);
 		}
 		return sum;
 	}
@@ -117,32 +134,52 @@
 		const counted = [...this.tables.machines.values()].filter((m) => m.counts);
 		const cpus = counted.reduce((sum, m) => sum + m.type.cpus, 0);
 		const n = counted.length;
-		const work = this.remainingWork(now);
+		const unitS = this.unitS();
+		const work = this.remainingWork(now, unitS);
 		const oldest = this.oldestWaiting(now);
 		if (n === 0) {
 			// With nothing to run, no machine is kept; the first job to wait rents one.
-			if (oldest && !this.unmark()) this.rentFor(oldest, work, n, cpus, now);
+			if (oldest && !this.unmark()) this.rentFor(oldest, work, unitS, n, cpus, now);
 			return;
 		}
 		const unheld = this.unheldJob(counted, now);
 		if (unheld) {
-			this.rentFor(unheld, 0, n, cpus, now);
+			this.rentFor(unheld, 0, unitS, n, cpus, now);
 			return;
 		}
 		const { counters, action } = climb(
 			this.counters,
 			loadOf(work, n),
 			this.tables.jobs.size === 0 ? n + 1 : n,
-			cpus / n,
+			(cpus / n) * unitS,
 			this.settings.climb,
 		);
 		this.counters = counters;
-		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action }, "round");
+		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action, teams: this.teamState() }, "round");
 		if (action === "up") {
-			if (!this.unmark() && oldest) this.rentFor(oldest, work, n, cpus, now);
+			if (!this.unmark() && oldest) this.rentFor(oldest, work, unitS, n, cpus, now);
 		} else if (action === "down") this.mark(counted, now);
 	}
 
+	private teamState(): string[] {
+		const lines: string[] = [];
+		for (const name of this.tables.quotas.names) {
+			let waiting = 0;
+			let jobs = 0;
+			const phases: Record<string, number> = {};
+			for (const job of this.tables.jobs.values()) {
+				if (job.spec.team !== name) continue;
+				jobs += 1;
+				waiting += job.waiting.length;
+				for (const a of job.attempts.values()) phases[a.phase] = (phases[a.phase] ?? 0) + 1;
+			}
+			if (jobs > 0) {
+				lines.push(`${name} ${jobs}j ${waiting}w ${this.tables.quotas.use(name).cpus}c ${JSON.stringify(phases)}`);
+			}
+		}
+		return lines;
+	}
+
 	/** The oldest job with waiting tasks that may run now, urgent ones first. */
 	private oldestWaiting(now: number): Job | null {
 		let best: Job | null = null;
@@ -194,7 +231,7 @@
 		this.log.info({ machine: best.id, work: Math.round(least) }, "marked to drain and return");
 	}
 
-	private rentFor(job: Job | null, work: number, n: number, cpus: number, now: number): void {
+	private rentFor(job: Job | null, work: number, unitS: number, n: number, cpus: number, now: number): void {
 		if (this.rental) return;
 		const most = this.settings.climb.most_machines;
 		if (most > 0 && n >= most) return;
@@ -210,7 +247,7 @@
 		const open = offers.filter((o) => (this.refusedUntil.get(offerKey(o)) ?? 0) <= now);
 		const offer = open[0];
 		if (!offer) return;
-		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb, 50);
+		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
 		// Cores beyond what the teams' limits allow would stand idle.
 		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
 		if (most > 0) count = Math.min(count, most - n);
--- a/src/coordination/scaling.ts
+++ b/src/coordination/scaling.ts
@@ -6,7 +6,6 @@
 export interface ClimbSettings {
 	high: number;
 	low: number;
-	unit_s: number;
 	up_past: number;
 	down_at: number;
 	cap_s: number;
@@ -34,15 +33,16 @@
 	return work / (machines - 0.5);
 }
 
+/** `unit` is what the marks are multiples of: mean cores of a machine times seconds. */
 export function climb(
 	counters: Counters,
 	load: number,
 	machines: number,
-	meanCpus: number,
+	unit: number,
 	settings: ClimbSettings,
 ): { counters: Counters; action: ClimbAction } {
-	const high = settings.high * meanCpus * settings.unit_s;
-	const low = settings.low * meanCpus * settings.unit_s;
+	const high = settings.high * unit;
+	const low = settings.low * unit;
 	if (load > high) {
 		const up = counters.up + Math.floor(load / high);
 		return up > settings.up_past
@@ -65,7 +65,7 @@
 	machines: number,
 	cpus: number,
 	typeCpus: number,
-	settings: ClimbSettings,
+	highPerCpu: number,
 	most: number,
 ): number {
 	let k = 0;
@@ -73,7 +73,7 @@
 		const n = machines + k;
 		if (n > 0) {
 			const mean = (cpus + k * typeCpus) / n;
-			if (loadOf(work, n) <= settings.high * mean * settings.unit_s) break;
+			if (loadOf(work, n) <= highPerCpu * mean) break;
 		}
 		k += 1;
 	}
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -11,10 +11,9 @@
 		v.strictObject({
 			/** Seconds between rounds of the hill climb. */
 			round_s: v.optional(positive, 1),
-			/** The paper's marks are machine cores times this many seconds times a factor. */
-			unit_s: v.optional(positive, 20),
+			/** Marks, as multiples of a machine's cores times half an estimated run of the present tasks. */
 			high: v.optional(positive, 1.2),
-			low: v.optional(positive, 0.4),
+			low: v.optional(positive, 0.8),
 			/** The up counter acts when it is past this. */
 			up_past: v.optional(amount, 3),
 			/** The down counter acts when it reaches this. */
