--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -11,6 +11,7 @@
 import type { StoreChange, StoreCondition } from "../protocol/wire.js";
 import { Fleet } from "./fleet.js";
 import { drift } from "./leadership.js";
+import { servingOrder } from "./ordering.js";
 import { placerOf } from "./parting.js";
 import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
 import {
@@ -589,9 +590,10 @@
 		const { quotas } = this.tables;
 		let freeCpus = 0;
 		for (const v of views) freeCpus += v.cpus;
-		const jobs = [...this.tables.jobs.values()]
-			.filter((job) => job.waiting.length > 0 && job.notBefore <= now && !job.ending)
-			.sort((a, b) => a.rank - b.rank || dueAt(a) - dueAt(b) || a.at - b.at);
+		const jobs = servingOrder(
+			[...this.tables.jobs.values()].filter((job) => job.waiting.length > 0 && job.notBefore <= now && !job.ending),
+			(team) => quotas.team(team),
+		);
 		const taken = new Map<string, { cpus: number; gpus: number }>();
 		const grants = new Map<Job, number>();
 		for (const guarantee of [true, false]) {
@@ -631,10 +633,6 @@
 	return (machine.spot ? machine.type.spotPrice : machine.type.price) / machine.type.cpus;
 }
 
-function dueAt(job: Job): number {
-	return job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.at + job.spec.deadlineS * 1000;
-}
-
 function viewOf(machine: Machine): ViewMachine {
 	return {
 		id: machine.id,
