--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -33,6 +33,7 @@
 }
 
 const goneKeptMs = 10 * 60_000;
+const takenLeadMs = 700;
 const rentalTriesMs = 60_000;
 
 /** Rents and returns machines: the hill climb and its exceptions. */
@@ -391,6 +392,9 @@
 
 	private wantsReturn(machine: Machine, now: number): string | null {
 		if (machine.returning) return "return requested";
+		// A machine that vanishes proves nothing until its lease has run out; one that was
+		// returned is proved gone at once, and so are the tasks on it.
+		if (machine.takenAt !== null && now >= machine.takenAt - takenLeadMs) return "about to be taken";
 		const held = machine.attempts.size > 0 || machine.hidden;
 		if (machine.lost && now - machine.answeredAt > this.silentMs(machine)) return "silent";
 		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -51,6 +51,8 @@
 const expiryMarginMs = 500;
 const progressEveryMs = 1500;
 const answerHoldMs = 150;
+/** A task is given up on a machine about to be taken if it needs this many times what is left. */
+const hopelessFactor = 1.3;
 
 /** One term of leadership: tables, orders, placing, scaling. Everything here runs in the queue. */
 export class Leader {
@@ -256,16 +258,30 @@
 		}
 	}
 
-	/** A task that can save is stopped in time when its machine will be taken away. */
+	/**
+	 * On a machine that will be taken away, a task that can save is stopped in time
+	 * for that. One that cannot save and will hardly finish is stopped at once: its
+	 * work is lost in any case, and elsewhere it begins so much earlier.
+	 */
 	private stopBeforeTaken(machine: Machine, now: number): void {
 		if (machine.takenAt === null) return;
 		const leftS = (machine.takenAt - now) / 1000;
+		const margin = 2 * this.platform.cluster.workers.report_s;
+		const stopped: Attempt[] = [];
 		for (const attempt of machine.attempts.values()) {
 			const { spec } = attempt.job;
-			if (attempt.stop !== null || spec.checkpointS <= 0 || attempt.phase !== "running") continue;
-			const margin = 2 * this.platform.cluster.workers.report_s;
-			if (leftS <= spec.saveS + margin) attempt.stop = { graceS: leftS, why: "machine is taken" };
+			if (attempt.stop !== null || attempt.phase === "assigned") continue;
+			if (spec.checkpointS > 0 && attempt.phase === "running") {
+				if (leftS <= spec.saveS + margin) attempt.stop = { graceS: leftS, why: "machine is taken" };
+				continue;
+			}
+			const elapsedS = attempt.runningAt === null ? 0 : (now - attempt.runningAt) / 1000;
+			const needS = attempt.job.estimateS - elapsedS;
+			if (needS <= leftS * hopelessFactor) continue;
+			attempt.stop = { graceS: 0, why: "machine is taken" };
+			stopped.push(attempt);
 		}
+		this.stopNow(stopped);
 	}
 
 	// --- the store ---
