--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -34,6 +34,8 @@
 
 const goneKeptMs = 10 * 60_000;
 const takenLeadMs = 700;
+/** An offer this many times as dear as the cheapest of its kind is not taken at once. */
+const dearFrom = 2;
 const rentalTriesMs = 60_000;
 
 /** Rents and returns machines: the hill climb and its exceptions. */
@@ -42,6 +44,8 @@
 	private readonly refusedUntil = new Map<string, number>();
 	private readonly goneAt = new Map<string, number>();
 	private rental: Rental | null = null;
+	/** Times in a row that the counter acted with nothing but dear offers left. */
+	private patience = 0;
 	private requestNumber = 0;
 	private listing = false;
 	private nextList = 0;
@@ -156,6 +160,7 @@
 			this.settings.climb,
 		);
 		this.counters = counters;
+		if (action !== "up" && counters.up === 0) this.patience = 0;
 		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action, teams: this.teamState() }, "round");
 		if (action === "up") {
 			if (!this.unmark() && oldest) this.rentFor(oldest, work, unitS, n, cpus, now);
@@ -213,23 +218,26 @@
 		return false;
 	}
 
-	/** Marks the machine with the least remaining work; of equals, the dearest. */
+	/**
+	 * Marks the machine with the least remaining work for its price: of two that are
+	 * about as busy, the dear one goes.
+	 */
 	private mark(counted: Machine[], now: number): void {
 		const cap = this.settings.climb.cap_s;
 		let best: Machine | null = null;
 		let least = Number.POSITIVE_INFINITY;
 		for (const machine of counted) {
-			let work = 0;
+			let work = 1;
 			for (const a of machine.attempts.values()) work += remainingOf(a, now, a.job.estimateS, cap);
-			const dearer = best !== null && work === least && hourly(machine) > hourly(best);
-			if (work < least || dearer) {
+			const worth = work / Math.max(hourly(machine), 1e-6);
+			if (worth < least) {
 				best = machine;
-				least = work;
+				least = worth;
 			}
 		}
 		if (!best) return;
 		best.marked = true;
-		this.log.info({ machine: best.id, work: Math.round(least) }, "marked to drain and return");
+		this.log.info({ machine: best.id, tasks: best.attempts.size }, "marked to drain and return");
 	}
 
 	private rentFor(job: Job | null, work: number, unitS: number, n: number, cpus: number, now: number): void {
@@ -248,6 +256,11 @@
 		const open = offers.filter((o) => (this.refusedUntil.get(offerKey(o)) ?? 0) <= now);
 		const offer = open[0];
 		if (!offer) return;
+		// Dear machines are rented only when the load stays high for longer, by as much as they cost more.
+		const dearness = pricePerCpu(offer) / pricePerCpu(offers[0] as Offer);
+		this.patience += 1;
+		if (n > 0 && work > 0 && dearness > dearFrom && this.patience <= dearness * this.settings.climb.up_past) return;
+		this.patience = 0;
 		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
 		// Cores beyond what the teams' limits allow would stand idle.
 		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
@@ -458,6 +471,10 @@
 	return remainingOfRunning(cpus, (now - attempt.runningAt) / 1000, estimate, cap);
 }
 
+function pricePerCpu(offer: Offer): number {
+	return offer.price / offer.type.cpus;
+}
+
 function hourly(machine: Machine): number {
 	return machine.spot ? machine.type.spotPrice : machine.type.price;
 }
