--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -65,11 +65,23 @@
 		this.leadership = new Leadership(
 			platform.node,
 			incarnation,
-			{ ttlMs: settings.leadership.ttl_s * 1000, marginMs: settings.leadership.margin_s * 1000 },
+			{
+				ttlMs: settings.leadership.ttl_s * 1000,
+				marginMs: settings.leadership.margin_s * 1000,
+				withoutStoreMs: withoutStoreMs(platform),
+			},
 			store,
 			time,
 			post,
-			{ won: (epoch) => this.won(epoch), lost: (epoch, why) => this.lost(epoch, why) },
+			{
+				won: (epoch) => this.won(epoch),
+				lost: (epoch, why) => this.lost(epoch, why),
+				tell: (message) => {
+					for (const other of platform.others) ports.peers.send(other.node, message);
+				},
+				heardAt: () => this.copy.heardAt,
+			},
+			platform.others.map((other) => other.node),
 			log,
 			() => uniformInt(ports.random, 0, 999) / 1000,
 		);
@@ -111,6 +123,8 @@
 	}
 
 	private tick(): void {
+		// Machine types are the first thing a first leader writes.
+		if (this.replica.loaded && this.replica.types === null) this.leadership.releaseStartHold();
 		this.leadership.tick(this.replica.leader, this.replica.loaded);
 		if (this.leadership.authority() !== null) this.refreshTypes();
 		this.leader?.tick();
@@ -243,6 +257,12 @@
 				case "ping":
 					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch });
 					break;
+				case "ask":
+				case "promise":
+				case "who":
+				case "leading":
+					this.leadership.message(from, message);
+					break;
 				default:
 					this.leader?.peerMessage(from, message);
 			}
@@ -250,6 +270,15 @@
 	}
 }
 
+/**
+ * A cancellation that this process has not heard of must still be carried out within
+ * cancel_s: authority without the store, then a worker's whole lease, then a margin.
+ */
+export function withoutStoreMs(platform: PlatformSettings): number {
+	const { cancel_s, lease_s } = platform.cluster.workers;
+	return Math.max(0, cancel_s - lease_s * 1.01 - Math.max(3, cancel_s * 0.1)) * 1000;
+}
+
 /** Prices of spot machines move all the time; only what submissions depend on is compared. */
 function sameTypes(a: MachineType[], b: MachineType[]): boolean {
 	const shape = (types: MachineType[]) =>
--- a/src/coordination/leadership.ts
+++ b/src/coordination/leadership.ts
@@ -1,14 +1,19 @@
 import { keys, type LeaderRecord } from "../bookkeeping/records.js";
 import type { Versioned } from "../bookkeeping/replica.js";
+import type { PeerMessage } from "../protocol/peer.js";
 import { CallFailed, type Log, type StorePort, type TimePort } from "./ports.js";
 
 export interface LeadershipSettings {
 	ttlMs: number;
 	marginMs: number;
+	/** Longest authority after the store last told this process anything. */
+	withoutStoreMs: number;
 }
 
 /** Two steady clocks drift apart by at most this part. */
 export const drift = 0.001;
+/** A put sent without an answer may be applied minutes late. */
+const uncertainMs = 5 * 60_000;
 
 /**
  * Holds the leader's key, which is attached to a lease. The revision of the put
@@ -18,6 +23,14 @@
  * successful renewal, less drift and margin: the store counts from a later
  * moment, so it cannot have given the key to anyone else by then. It is tested
  * at every use, since this process may run late.
+ *
+ * While renewals are refused, authority goes on as long as *every* other controller
+ * has found itself refused too and has promised not to campaign for the length of
+ * a lease. Nobody else can then win the key, whether the store is down for all or
+ * each node is refused on its own. A process that starts may have promised before
+ * it ended: it holds back for as long, unless every other controller says that it
+ * does not lead. All this ends a bounded time after the store was last heard, so
+ * that a cancellation unknown here is carried out in time by leases running out.
  */
 export class Leadership {
 	private lease: number | null = null;
@@ -27,6 +40,19 @@
 	private campaigning = false;
 	private nextRenewal = 0;
 	private nextCampaign = 0;
+	private renewedAt = -Infinity;
+	/** By controller: until when it will not campaign. */
+	private readonly promises = new Map<string, number>();
+	private readonly asked = new Map<number, number>();
+	private askNumber = 0;
+	private nextAsk = 0;
+	/** This process's own promise, or what it may have promised before it started. */
+	private promisedUntil: number;
+	/** Whether the hold since the start is still on, and who has said that it does not lead. */
+	private startHold = true;
+	private readonly notLeading = new Set<string>();
+	/** A campaign's put without an answer may still be applied; until then, no promise. */
+	private uncertainUntil = -Infinity;
 
 	constructor(
 		private readonly node: string,
@@ -38,14 +64,84 @@
 		private readonly hooks: {
 			won(epoch: number): void;
 			lost(epoch: number, why: string): void;
+			/** To every other controller. */
+			tell(message: PeerMessage): void;
+			/** Steady time at which the local copy last heard from the store. */
+			heardAt(): number;
 		},
+		private readonly others: readonly string[],
 		private readonly log: Log,
 		private readonly jitter: () => number,
-	) {}
+	) {
+		this.promisedUntil = time.now() + this.promiseMs * (1 + drift);
+	}
+
+	private get promiseMs(): number {
+		return this.settings.ttlMs;
+	}
 
 	/** The epoch while this process may act for the controllers, else null. */
 	authority(): number | null {
-		return this.held !== null && this.time.now() < this.validUntil ? this.held : null;
+		if (this.held === null) return null;
+		const now = this.time.now();
+		return now < this.validUntil || now < this.extendedUntil() ? this.held : null;
+	}
+
+	private extendedUntil(): number {
+		let until = Math.min(this.renewedAt, this.hooks.heardAt()) + this.settings.withoutStoreMs;
+		for (const other of this.others) until = Math.min(until, this.promises.get(other) ?? -Infinity);
+		return until;
+	}
+
+	/** A fresh cluster has nothing that a promise could have been about. */
+	releaseStartHold(): void {
+		if (!this.startHold) return;
+		this.startHold = false;
+		this.promisedUntil = -Infinity;
+	}
+
+	message(from: string, message: PeerMessage): void {
+		const now = this.time.now();
+		if (message.kind === "who") {
+			this.hooks.tell({ kind: "leading", epoch: this.held ?? 0, leading: this.held !== null });
+		} else if (message.kind === "leading" && this.startHold) {
+			if (message.leading) this.notLeading.delete(from);
+			else this.notLeading.add(from);
+			if (this.others.every((other) => this.notLeading.has(other))) this.releaseStartHold();
+		} else if (message.kind === "ask") this.considerPromise(message.epoch, message.number);
+		else if (message.kind === "promise" && message.epoch === this.held) {
+			const sentAt = this.asked.get(message.number);
+			if (sentAt === undefined) return;
+			const until = sentAt + this.promiseMs * (1 - drift) - this.settings.marginMs;
+			this.promises.set(from, Math.max(until, this.promises.get(from) ?? -Infinity));
+			this.log.debug({ from, forMs: Math.round(until - now) }, "promise received");
+		}
+	}
+
+	/** Promises only when a request made after the question was refused. */
+	private considerPromise(epoch: number, number: number): void {
+		const may = () => this.held === null && !this.campaigning && this.time.now() >= this.uncertainUntil;
+		if (!may()) return;
+		this.store.read(keys.leader).then(
+			() => {},
+			(error) =>
+				this.post(() => {
+					if (!(error instanceof CallFailed) || error.status !== 503 || !may()) return;
+					const until = this.time.now() + this.promiseMs * (1 + drift);
+					this.promisedUntil = Math.max(this.promisedUntil, until);
+					this.startHold = false;
+					this.hooks.tell({ kind: "promise", epoch, number });
+				}),
+		);
+	}
+
+	private ask(now: number): void {
+		if (now < this.nextAsk) return;
+		this.nextAsk = now + this.promiseMs / 6;
+		this.askNumber += 1;
+		this.asked.set(this.askNumber, now);
+		this.asked.delete(this.askNumber - 20);
+		this.hooks.tell({ kind: "ask", epoch: this.held ?? 0, number: this.askNumber });
 	}
 
 	/** The epoch whose lease has not been seen to end, with or without present authority. */
@@ -62,8 +158,17 @@
 		const now = this.time.now();
 		if (this.held !== null) {
 			if (!this.renewing && now >= this.nextRenewal) this.renew();
+			if (now - this.renewedAt > this.settings.ttlMs / 3) this.ask(now);
+			return;
+		}
+		if (now < this.promisedUntil) {
+			if (this.startHold && now >= this.nextAsk) {
+				this.nextAsk = now + 200;
+				this.hooks.tell({ kind: "who", epoch: 0 });
+			}
 			return;
 		}
+		this.startHold = false;
 		if (!known || this.campaigning || now < this.nextCampaign) return;
 		// A key with this node's name is of an earlier process of it, which is dead: one process per node.
 		if (current === null || current.value.node === this.node) this.campaign(current?.revision ?? 0);
@@ -91,7 +196,9 @@
 			() =>
 				this.post(() => {
 					this.renewing = false;
-					if (this.lease === lease) this.validUntil = Math.max(this.validUntil, this.validFrom(sentAt));
+					if (this.lease !== lease) return;
+					this.validUntil = Math.max(this.validUntil, this.validFrom(sentAt));
+					this.renewedAt = Math.max(this.renewedAt, sentAt);
 				}),
 			(error) =>
 				this.post(() => {
@@ -118,6 +225,8 @@
 					this.held = won.epoch;
 					this.lease = won.lease;
 					this.validUntil = this.validFrom(sentAt);
+					this.renewedAt = sentAt;
+					this.promises.clear();
 					this.nextRenewal = this.time.now();
 					this.hooks.won(won.epoch);
 				}),
@@ -142,6 +251,9 @@
 			if (result.ok) return { epoch: result.epoch, lease };
 		} catch (error) {
 			// No answer says nothing about the put: read the key back, never assume.
+			if (error instanceof CallFailed && error.kind === "unknown") {
+				this.uncertainUntil = this.time.now() + uncertainMs;
+			}
 			if (!(error instanceof CallFailed) || error.kind !== "unknown") {
 				this.store.endLease(lease).catch(() => {});
 				throw error;
--- a/src/coordination/local-copy.ts
+++ b/src/coordination/local-copy.ts
@@ -2,7 +2,7 @@
 import type { Replica } from "../bookkeeping/replica.js";
 import { CallFailed, type Log, type StorePort, type TimePort } from "./ports.js";
 
-const watchMs = 5000;
+const watchMs = 2500;
 const gatherMs = 15;
 
 interface Waiter {
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -8,6 +8,12 @@
 	| { kind: "placed"; epoch: number; cycle: number; placements: Placement[] }
 	/** Leader to all, now and then: tasks running by job, for display. */
 	| { kind: "running"; epoch: number; counts: [string, number][] }
+	/** Leader to all, while the store refuses it: are you refused too, and will you not campaign for a while? */
+	| { kind: "ask"; epoch: number; number: number }
+	| { kind: "promise"; epoch: number; number: number }
+	/** A node that has just started, to all: does anyone lead? */
+	| { kind: "who"; epoch: number }
+	| { kind: "leading"; epoch: number; leading: boolean }
 	| { kind: "ping"; epoch: number }
 	| { kind: "pong"; epoch: number };
 
