--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -144,6 +144,10 @@
 			job.durable.addPage(page, this.perPage, record.value.bits);
 		}
 		job.fillWaiting();
+		this.ports.log.debug(
+			{ job: id, lane: spec.lane, team: spec.team, tasks: spec.tasks, estimateS: spec.estimateS, dueS: spec.deadlineS },
+			"job known",
+		);
 		this.finishIfDone(job);
 	}
 
@@ -365,7 +369,8 @@
 						// Else the job was cancelled first; the watch says so.
 						return;
 					}
-					this.ports.log.info({ job: job.id }, "job done");
+					const tookS = Math.round((this.ports.time.date().getTime() - job.at) / 100) / 10;
+					this.ports.log.info({ job: job.id, lane: job.spec.lane, tookS, dueS: job.spec.deadlineS }, "job done");
 					this.replica.applyOwn(keys.final(job.id), value, result.epoch);
 					this.jobEnded(job.id);
 				}),
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -131,8 +131,11 @@
 	app.all(`${paths.jobs}/:id`, wrongMethod("GET"));
 	app.all(`${paths.jobs}/:id/abort`, wrongMethod("POST"));
 	app.notFound(() => failure(404, "there is nothing at this path"));
-	app.onError((error) => {
-		if (error instanceof Malformed) return failure(400, error.message);
+	app.onError((error, c) => {
+		if (error instanceof Malformed) {
+			log.debug({ path: c.req.path, reason: error.message }, "malformed request");
+			return failure(400, error.message);
+		}
 		log.error({ err: error.message, stack: error.stack }, "request failed");
 		return later("the request could not be handled");
 	});
