--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -36,6 +36,8 @@
 	readonly failedOn = new Set<string>();
 	failures = 0;
 	notBefore = 0;
+	/** Steady time at which this leader came to know it. */
+	knownAt = 0;
 
 	constructor(
 		readonly id: string,
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -259,7 +259,7 @@
 		// Dear machines are rented only when the load stays high for longer, by as much as they cost more.
 		const dearness = pricePerCpu(offer) / pricePerCpu(offers[0] as Offer);
 		this.patience += 1;
-		if (n > 0 && work > 0 && dearness > dearFrom && this.patience <= dearness * this.settings.climb.up_past) return;
+		if (n > 0 && work > 0 && dearness > dearFrom && this.patience <= 2 * dearness * this.settings.climb.up_past) return;
 		this.patience = 0;
 		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
 		// Cores beyond what the teams' limits allow would stand idle.
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -12,6 +12,7 @@
 import { Fleet } from "./fleet.js";
 import { drift } from "./leadership.js";
 import { servingOrder } from "./ordering.js";
+import { chooseVictims } from "./preemption.js";
 import { placerOf } from "./parting.js";
 import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
 import {
@@ -51,6 +52,8 @@
 const expiryMarginMs = 500;
 const progressEveryMs = 1500;
 const answerHoldMs = 150;
+const preemptEveryMs = 500;
+const preemptAfterMs = 700;
 /** A task is given up on a machine about to be taken if it needs this many times what is left. */
 const hopelessFactor = 1.3;
 
@@ -67,6 +70,7 @@
 	private writing = false;
 	private nextWrite = 0;
 	private nextPing = 0;
+	private nextPreemption = 0;
 	private readonly perPage: number;
 	private readonly leaseMs: number;
 
@@ -143,6 +147,7 @@
 			job.done.addPage(page, this.perPage, record.value.bits);
 			job.durable.addPage(page, this.perPage, record.value.bits);
 		}
+		job.knownAt = this.ports.time.now();
 		job.fillWaiting();
 		this.ports.log.debug(
 			{ job: id, lane: spec.lane, team: spec.team, tasks: spec.tasks, estimateS: spec.estimateS, dueS: spec.deadlineS },
@@ -470,6 +475,7 @@
 		this.writeProgress(now);
 		this.pings(now);
 		if (this.anyWaiting(now)) this.tables.changed = true;
+		this.preempt(now);
 		this.maybePlace();
 		if (this.tables.exhausted) this.resign("attempt numbers used up");
 	}
@@ -506,6 +512,26 @@
 		this.ports.peers.send(node, message);
 	}
 
+	/** Stops tasks for waiting ones of more right, after a moment in which room may come by itself. */
+	private preempt(now: number): void {
+		if (now < this.nextPreemption || !this.tables.rebuilt) return;
+		this.nextPreemption = now + preemptEveryMs;
+		const waiting = [...this.tables.jobs.values()].filter(
+			(job) =>
+				job.waiting.length > 0 && job.notBefore <= now && !job.ending && !job.doomed && now - job.knownAt > preemptAfterMs,
+		);
+		if (waiting.length === 0) return;
+		const order = servingOrder(waiting, (team) => this.tables.quotas.team(team));
+		const victims = chooseVictims(this.tables, order, now);
+		if (victims.length === 0) return;
+		for (const victim of victims) {
+			const { spec } = victim.job;
+			victim.stop = { graceS: spec.checkpointS > 0 ? 2 * spec.saveS : 0, why: "preempted" };
+		}
+		this.ports.log.debug({ tasks: victims.map((v) => `${v.job.id}/${v.index}`) }, "preempted");
+		this.stopNow(victims);
+	}
+
 	// --- placing ---
 
 	private anyWaiting(now: number): boolean {
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -10,14 +10,14 @@
 	climb: v.optional(
 		v.strictObject({
 			/** Seconds between rounds of the hill climb. */
-			round_s: v.optional(positive, 1),
+			round_s: v.optional(positive, 0.5),
 			/** Marks, as multiples of a machine's cores times half an estimated run of the present tasks. */
 			high: v.optional(positive, 1.2),
 			low: v.optional(positive, 0.8),
 			/** The up counter acts when it is past this. */
 			up_past: v.optional(amount, 3),
 			/** The down counter acts when it reaches this. */
-			down_at: v.optional(whole, 3),
+			down_at: v.optional(whole, 6),
 			/** Remaining work counts at most this many seconds per core. */
 			cap_s: v.optional(positive, 600),
 			/** How long a refused type, zone and kind is not asked for again. */
