--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -108,14 +108,13 @@
 			if (!urgent && !withinGuarantee) break;
 			const plan = cheapestPlan(open, job, now, (a) => {
 				if (victims.includes(a) || !stoppable(a) || !young(a, now)) return false;
-				if (urgent && a.job.rank > job.rank) return true;
 				const other = a.job.spec.team;
-				return (
-					withinGuarantee &&
-					other !== spec.team &&
-					a.job.rank >= job.rank &&
-					beyondGuarantee(tables, other, (freed.get(other) ?? 0) + a.job.spec.cpus - slack * 2)
-				);
+				if (other === spec.team) return urgent && a.job.rank > job.rank;
+				// Placing serves guarantees before borrowing. Taking a guaranteed place for borrowed
+				// work would only have it taken back, each time at the cost of what had run.
+				const borrowed = beyondGuarantee(tables, other, (freed.get(other) ?? 0) + a.job.spec.cpus - slack * 2);
+				if (urgent && a.job.rank > job.rank) return withinGuarantee || borrowed;
+				return withinGuarantee && borrowed && a.job.rank >= job.rank;
 			});
 			if (!plan) break;
 			for (const attempt of plan.attempts) take(attempt);
