Prompt reports when there is something to start; answer idle machines when work comes

Cause: a start waits for the machine's next report, half of report_s on the average. One exited task is left unforgotten as a handle; forgetting it by direct order makes the worker report.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -43,6 +43,8 @@
 	suspect = false;
 	/** Exited attempts that it still lists. */
 	exited: { job: string; index: number; attempt: number; done: boolean }[] = [];
+	/** An exited attempt left unforgotten, to be forgotten when a report is wanted. */
+	handle: { job: string; index: number; attempt: number } | null = null;
 	/** Attempts that it lists and that nobody wants. */
 	unwanted: { job: string; index: number; attempt: number }[] = [];
 
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -14,15 +14,7 @@
 import { servingOrder } from "./ordering.js";
 import { placerOf } from "./parting.js";
 import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
-import {
-	CallFailed,
-	type CloudPort,
-	type Log,
-	type PeerPort,
-	type StorePort,
-	type TimePort,
-	type WorkerPort,
-} from "./ports.js";
+import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { chooseVictims } from "./preemption.js";
 import { applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
 import { Tables } from "./tables.js";
@@ -46,12 +38,15 @@
 interface HeldReport {
 	machine: string;
 	until: number;
+	/** Held only in case work comes, not because a place is being filled. */
+	idle: boolean;
 	answer(orders: Order[] | null): void;
 }
 
 const expiryMarginMs = 500;
 const progressEveryMs = 1500;
 const answerHoldMs = 150;
+const idleHoldMs = 1500;
 const preemptEveryMs = 500;
 const preemptAfterMs = 700;
 /** A task is given up on a machine about to be taken if it needs this many times what is left. */
@@ -198,13 +193,17 @@
 		const machine = this.tables.machines.get(report.machine) as Machine;
 		machine.answeredAt = now;
 		if (!machine.durable) this.record(machine);
-		const worthHolding = machine.open && machine.freeCpus > 0 && this.anyWaiting(now);
-		if (!worthHolding) return Promise.resolve(this.answer(machine));
+		const waiting = this.anyWaiting(now);
+		const idle = machine.attempts.size === 0 && !waiting;
+		if (!machine.open || machine.freeCpus <= 0 || !(waiting || idle))
+			return Promise.resolve(this.answer(machine));
 		// Freed places are filled in the same answer: the next one is a report interval away.
+		// A machine without tasks has nothing to report meanwhile and is answered when work comes.
+		const holdMs = idle ? Math.min(idleHoldMs, this.platform.cluster.workers.report_s * 600) : answerHoldMs;
 		return new Promise((resolve) => {
-			this.held.push({ machine: machine.id, until: now + answerHoldMs, answer: resolve });
-			this.tables.changed = true;
-			this.ports.time.after(answerHoldMs, () => this.ports.post(() => this.releaseHeld(false)));
+			this.held.push({ machine: machine.id, until: now + holdMs, idle, answer: resolve });
+			if (waiting) this.tables.changed = true;
+			this.ports.time.after(holdMs, () => this.ports.post(() => this.releaseHeld(() => false)));
 		});
 	}
 
@@ -214,9 +213,9 @@
 		return ordersFor(this.tables, machine);
 	}
 
-	private releaseHeld(all: boolean): void {
+	private releaseHeld(ready: (held: HeldReport) => boolean): void {
 		const now = this.ports.time.now();
-		const due = this.held.filter((h) => all || h.until <= now);
+		const due = this.held.filter((h) => h.until <= now || ready(h));
 		if (due.length === 0) return;
 		this.held = this.held.filter((h) => !due.includes(h));
 		for (const held of due) {
@@ -564,7 +563,35 @@
 			this.nextCycle = now + this.settings.placing.cycle_s * 1000;
 			if (this.tables.rebuilt) this.place(now);
 		}
-		if (this.held.length > 0 && this.outstanding.size === 0 && !this.tables.changed) this.releaseHeld(true);
+		if (this.held.length > 0 && this.outstanding.size === 0) {
+			const settled = !this.tables.changed;
+			this.releaseHeld((h) => (settled && !h.idle) || this.hasAssigned(h.machine));
+		}
+		this.nudge(now);
+	}
+
+	private hasAssigned(id: string): boolean {
+		for (const a of this.tables.machines.get(id)?.attempts.values() ?? [])
+			if (a.phase === "assigned") return true;
+		return false;
+	}
+
+	/**
+	 * A start waits for the machine's next report, which a change of its tasks brings
+	 * on. So one exited task is left with each machine, and is forgotten by direct
+	 * order when there is something to start.
+	 */
+	private nudge(now: number): void {
+		const reportMs = this.platform.cluster.workers.report_s * 1000;
+		for (const machine of this.tables.machines.values()) {
+			const handle = machine.handle;
+			if (handle === null || now - machine.reportedAt > reportMs * 0.6 || !this.hasAssigned(machine.id))
+				continue;
+			if (this.held.some((h) => h.machine === machine.id)) continue;
+			machine.handle = null;
+			const order: Order = { op: "forget", job: handle.job, index: handle.index, attempt: handle.attempt };
+			this.ports.workers.command(machine.endpoint, this.epoch, machine.session, [order]).catch(() => {});
+		}
 	}
 
 	private livePlacers(now: number): string[] {
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -149,15 +149,16 @@
 }
 
 /**
- * The orders for a report's answer. Starts go out only this way, never to
+ * The orders for a report's answer. One task that is over is kept as a handle, whose
+ * later forgetting makes the worker report. Starts go out only this way, never to
  * /commands, where they could be carried out minutes late.
  */
 export function ordersFor(tables: Tables, machine: Machine): Order[] {
 	const orders: Order[] = [];
-	for (const task of machine.exited) {
-		if (settled(tables, task)) {
-			orders.push({ op: "forget", job: task.job, index: task.index, attempt: task.attempt });
-		}
+	const over = machine.exited.filter((task) => settled(tables, task));
+	machine.handle = machine.open ? (over.pop() ?? null) : null;
+	for (const task of over) {
+		orders.push({ op: "forget", job: task.job, index: task.index, attempt: task.attempt });
 	}
 	for (const task of machine.unwanted) {
 		orders.push({ op: "stop", job: task.job, index: task.index, attempt: task.attempt, graceS: 0 });
