--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -46,6 +46,8 @@
 const expiryMarginMs = 500;
 const progressEveryMs = 1500;
 const answerHoldMs = 150;
+/** A machine not heard for this long after a takeover is given back. */
+const hiddenPatienceMs = 2000;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
 const preemptAfterMs = 700;
@@ -65,6 +67,8 @@
 	private writing = false;
 	private nextWrite = 0;
 	private nextPing = 0;
+	private readonly beganAt: number;
+	private hiddenReturned = false;
 	private nextPreemption = 0;
 	private readonly perPage: number;
 	private readonly leaseMs: number;
@@ -96,6 +100,7 @@
 			ports.log,
 		);
 		this.fleet.leaseMs = this.leaseMs;
+		this.beganAt = ports.time.now();
 		this.rebuild();
 	}
 
@@ -489,7 +494,24 @@
 		if (this.tables.exhausted) this.resign("attempt numbers used up");
 	}
 
+	/**
+	 * A machine that neither reports to a new leader nor answers it holds up every
+	 * start until its lease is over. Given back, it is proved gone at once. Not so
+	 * when many are silent: then the fault is more likely on this side.
+	 */
+	private giveUpHidden(now: number): void {
+		if (now - this.beganAt < hiddenPatienceMs || this.hiddenReturned) return;
+		this.hiddenReturned = true;
+		const hidden = [...this.tables.machines.values()].filter((m) => m.hidden);
+		if (hidden.length === 0 || hidden.length > Math.max(2, this.tables.machines.size / 5)) return;
+		for (const machine of hidden) {
+			machine.returning = true;
+			this.ports.log.info({ machine: machine.id }, "not heard since the takeover: returning");
+		}
+	}
+
 	private sweep(now: number): void {
+		this.giveUpHidden(now);
 		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
 		for (const machine of this.tables.machines.values()) {
 			if (machine.lost || !(machine.up || machine.hidden)) continue;
