Tell a cloud outage from refused capacity

Cause: found by a kept trace: the 503 of an outage was remembered as refused capacity for 20 s, so nothing was rented when the cloud was back.

--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -300,18 +300,15 @@
 					this.rental = null;
 					const now = this.time.now();
 					for (const id of ids) this.expect(id, rental, now);
-					this.log.info({ ...request, got: ids.length }, "rented");
+					if (ids.length > 0) this.log.info({ ...request, got: ids.length }, "rented");
+					else this.log.debug({ ...request }, "no capacity");
 					if (ids.length < request.count) this.refusedSo(rental, now);
 				}),
 			(error) =>
 				this.hooks.post(() => {
 					const now = this.time.now();
 					const failure = error instanceof CallFailed ? error : null;
-					if (failure?.kind === "refused" && failure.status === 503) {
-						this.rental = null;
-						this.log.debug({ ...request }, "no capacity");
-						this.refusedSo(rental, now);
-					} else if (failure?.kind === "rejected" || now - rental.firstSentAt > rentalTriesMs) {
+					if (failure?.kind === "rejected" || now - rental.firstSentAt > rentalTriesMs) {
 						this.rental = null;
 						this.refused(rental, now);
 						this.log.info({ ...request, err: String(error) }, "rental given up");
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -271,6 +271,10 @@
 	return Array.isArray(hosts) ? hosts.map(String) : [];
 }
 
+export function isNoCapacity(raw: unknown): boolean {
+	return (raw as { error?: unknown } | null)?.error === "no capacity";
+}
+
 export function returnBody(machines: string[]) {
 	return { hosts: machines };
 }
--- a/src/transport/cloud-client.ts
+++ b/src/transport/cloud-client.ts
@@ -1,6 +1,7 @@
 import { CallFailed, type CloudPort, type TimePort } from "../coordination/ports.js";
 import type { ListedMachine, MachineType } from "../protocol/model.js";
 import {
+	isNoCapacity,
 	listedFrom,
 	listPath,
 	machineTypesFrom,
@@ -49,6 +50,8 @@
 	async rent(request: RentRequest): Promise<string[]> {
 		await this.admit(0);
 		const answer = await this.http.call("POST", paths.machines, rentBody(request), callMs);
+		// Only this answer speaks of capacity; during an outage there is another 503.
+		if (answer.status === 503 && isNoCapacity(answer.body)) return [];
 		return rentedFrom(expectStatus(answer, "rental", 200, 201));
 	}
 
