--- a/src/coordination/scaling.ts
+++ b/src/coordination/scaling.ts
@@ -113,14 +113,18 @@
 	return n;
 }
 
+/** Seconds of use that a rental is expected to bring, over which its boot time is spread. */
+const expectedUseS = 120;
+
 /**
  * Offers by what a core that the work would use costs: a machine larger than the
- * need is charged to the cores needed.
+ * need is charged to the cores needed, and boot time, which is paid for and waited
+ * for, to the use that follows.
  */
 export function rankOffers(offers: Offer[], spec: JobSpec, neededCpus: number): Offer[] {
 	const cost = (offer: Offer) => {
 		const usable = Math.min(tasksHeld(spec, offer.type) * spec.cpus, Math.max(neededCpus, spec.cpus));
-		return offer.price / usable;
+		return (offer.price * (offer.type.bootS + expectedUseS)) / expectedUseS / usable;
 	};
 	return offers
 		.map((offer) => ({ offer, cost: cost(offer) }))
