--- a/src/coordination/ordering.ts
+++ b/src/coordination/ordering.ts
@@ -2,7 +2,7 @@
 import type { TeamLimits } from "../bookkeeping/quotas.js";
 
 /** Best effort work counts as this many times as long as it is. */
-const bestEffortFactor = 2;
+const bestEffortFactor = 1.2;
 
 /** Seconds that the job still needs if it had its team's whole limit. */
 export function remainingSeconds(job: Job, team: TeamLimits | undefined): number {
@@ -20,7 +20,7 @@
  * The order in which jobs are served. Critical work comes before urgent work and
  * that before the rest; by due time among those with one, and else the shortest
  * remaining first: a team's limit is fixed, so this is what lets most jobs end
- * early. Best effort work yields to normal work of up to twice its length, no more:
+ * early. Best effort work yields to normal work of little more than its length, no more:
  * strictly behind, it would wait for the longest array of its team.
  */
 export function servingOrder(jobs: Job[], teamOf: (name: string) => TeamLimits | undefined): Job[] {
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -290,7 +290,7 @@
 	assert.deepEqual(ranked(4), ["small", "big"]);
 });
 
-test("serving order: tiers, then due time, then shortest remaining; best effort counts double", () => {
+test("serving order: tiers, then due time, then shortest remaining; best effort yields a little", () => {
 	const tables = tablesWith(0);
 	const add = (id: string, priority: Priority, tasks: number, deadlineS: number | null = null) =>
 		tables.addJob(id, specOf(id, { priority, tasks, deadlineS }), 0, 1);
