--- /dev/null
+++ b/tests/races.test.ts
@@ -0,0 +1,211 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Leadership } from "../src/coordination/leadership.js";
+import { CallFailed, type StorePort } from "../src/coordination/ports.js";
+import type { PeerMessage } from "../src/protocol/peer.js";
+import { StoreClient } from "../src/transport/store-client.js";
+import { FakeTime } from "./support/fake-time.js";
+import { StateService } from "./support/state-service.js";
+import { nodeNames, World } from "./support/world.js";
+
+const quiet = { error() {}, info() {}, debug() {} };
+const job = { id: "j-000001", pieces: 2, cores: 2, runs: 8 };
+const final = (world: World) => world.state.rows.get("r/fin/j-000001")?.v as { status: string } | undefined;
+
+/** Delays transactions that certain processes send from now on, past the point where they give up. */
+function delayTransactions(world: World, from: (process: string) => boolean, delayMs: number): void {
+	world.network.fault = (who, to, _method, path) =>
+		to === "state" && path === "/multi" && from(who) ? { delayMs } : {};
+}
+
+test("a cancellation that reaches the store after the job was done changes nothing", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	await world.submit("runner-0", job);
+	await world.time.advance(10_000);
+	const other = nodeNames.find((n) => n !== world.leaderNode()) as string;
+	delayTransactions(world, (who) => who.startsWith(other), 12_000);
+	const answer = await world.abort(other, job.id);
+	assert.equal(answer.status, 503, "no certain answer");
+	await world.time.advance(20_000);
+	assert.equal(final(world)?.status, "done");
+	world.network.fault = () => ({});
+	for (const node of nodeNames) assert.equal((await world.poll(node, job.id)).body.status, "done");
+	assert.deepEqual(world.broken, []);
+});
+
+test("the leader's record of a job done, applied late, does not undo a cancellation", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	await world.submit("runner-0", job);
+	await world.time.advance(9_000);
+	const leader = world.leaderNode() as string;
+	const other = nodeNames.find((n) => n !== leader) as string;
+	delayTransactions(world, (who) => who.startsWith(leader), 6_000);
+	for (let i = 0; i < 200 && (world.running("j-000001/0") || world.running("j-000001/1")); i++) {
+		await world.time.advance(100);
+	}
+	// Both tasks have ended, and what the leader writes of it is on its way.
+	await world.time.advance(1000);
+	assert.equal(final(world), undefined);
+	assert.equal((await world.abort(other, job.id)).body.status, "cancelled");
+	await world.time.advance(20_000);
+	assert.equal(final(world)?.status, "cancelled");
+	world.network.fault = () => ({});
+	for (const node of nodeNames) assert.equal((await world.poll(node, job.id)).body.status, "cancelled");
+	assert.deepEqual(world.broken, []);
+});
+
+test("submissions of one job to all nodes make one job; a known id is answered before any check", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	assert.equal((await world.submit("runner-0", job)).status, 201);
+	for (const node of nodeNames)
+		assert.equal((await world.submit(node, { ...job, desk: "nobody" })).status, 200);
+	assert.equal((await world.submit("runner-1", { ...job, id: "j-000002", desk: "nobody" })).status, 422);
+	assert.equal((await world.submit("runner-1", { ...job, id: "j-000003", cores: 9 })).status, 422);
+	assert.equal((await world.submit("runner-1", { ...job, id: "j-000004", shapes: ["none"] })).status, 422);
+	assert.equal((await world.poll("runner-2", "j-000002")).status, 404);
+});
+
+/** One Leadership against the stand-in store, with what it tells others kept. */
+function candidate(
+	others: string[],
+	state = { time: new FakeTime() as FakeTime, service: null as StateService | null },
+) {
+	const time = state.time;
+	const service = state.service ?? new StateService(time);
+	const told: PeerMessage[] = [];
+	const won: number[] = [];
+	const faults = { loseAnswers: false };
+	const store: StorePort = new StoreClient(
+		{
+			call: async (method, path, body) => {
+				const answer = await service.handle(method, path, body, "me");
+				if (faults.loseAnswers && path === "/multi") throw new CallFailed("unknown", 0, "no answer");
+				return answer;
+			},
+			close() {},
+		},
+		time,
+		1000,
+		1000,
+		1,
+	);
+	const leadership = new Leadership(
+		"me",
+		"inc",
+		{ ttlMs: 3000, marginMs: 300, withoutStoreMs: 20_000 },
+		store,
+		time,
+		(command) => command(),
+		{ won: (e) => won.push(e), lost() {}, tell: (m) => told.push(m), heardAt: () => time.now() },
+		others,
+		quiet,
+		() => 0,
+	);
+	const key = () => {
+		const row = service.rows.get("r/one/leader");
+		return row ? { value: row.v as { node: string; incarnation: string }, revision: row.stamp } : null;
+	};
+	const run = async (ms: number) => {
+		for (let t = 0; t < ms; t += 100) {
+			leadership.tick(key(), true);
+			await time.advance(100);
+		}
+	};
+	return { time, service, told, won, faults, leadership, run };
+}
+
+test("a candidate that promised does not campaign until its promise has run out", async () => {
+	const c = candidate(["a"]);
+	c.leadership.releaseStartHold();
+	c.service.setOutage(true);
+	c.leadership.message("a", { kind: "ask", epoch: 9, number: 1 });
+	await c.time.advance(100);
+	assert.deepEqual(c.told.at(-1), { kind: "promise", epoch: 9, number: 1 });
+	c.service.setOutage(false);
+	await c.run(2700);
+	assert.deepEqual(c.won, []);
+	await c.run(1000);
+	assert.equal(c.won.length, 1);
+});
+
+test("no promise is given by a node that the store serves", async () => {
+	const c = candidate(["a"]);
+	c.leadership.releaseStartHold();
+	c.leadership.message("a", { kind: "ask", epoch: 9, number: 1 });
+	await c.time.advance(500);
+	assert.deepEqual(c.told, []);
+});
+
+test("a process that starts holds back as long as it may have promised, or until all say that they do not lead", async () => {
+	const waits = candidate(["a", "b"]);
+	await waits.run(2900);
+	assert.deepEqual(waits.won, []);
+	await waits.run(500);
+	assert.equal(waits.won.length, 1);
+
+	const told = candidate(["a", "b"]);
+	told.leadership.message("a", { kind: "leading", epoch: 0, leading: false });
+	await told.run(300);
+	assert.deepEqual(told.won, [], "one of two has answered");
+	told.leadership.message("b", { kind: "leading", epoch: 0, leading: false });
+	await told.run(300);
+	assert.equal(told.won.length, 1);
+});
+
+test("authority outlasts the lease only while every other controller has promised", async () => {
+	const c = candidate(["a", "b"]);
+	c.leadership.releaseStartHold();
+	await c.run(500);
+	const epoch = c.won[0] as number;
+	assert.equal(c.leadership.authority(), epoch);
+	c.service.setOutage(true);
+	const answerAsks = async (ms: number, from: string[]) => {
+		for (let t = 0; t < ms; t += 100) {
+			await c.run(100);
+			for (const ask of c.told.splice(0)) {
+				if (ask.kind !== "ask") continue;
+				for (const node of from) c.leadership.message(node, { kind: "promise", epoch, number: ask.number });
+			}
+		}
+	};
+	await answerAsks(8000, ["a", "b"]);
+	assert.equal(c.leadership.authority(), epoch, "8 s into an outage, with all promises");
+	await answerAsks(4000, ["a"]);
+	assert.equal(c.leadership.authority(), null, "b has promised no more");
+	c.service.setOutage(false);
+	await c.run(1000);
+	assert.equal(c.leadership.authority(), epoch, "its lease had its full time again after the outage");
+});
+
+test("authority without the store ends in bounded time even with all promises", async () => {
+	const c = candidate([]);
+	c.leadership.releaseStartHold();
+	await c.run(500);
+	c.service.setOutage(true);
+	await c.run(19_000);
+	assert.notEqual(c.leadership.authority(), null);
+	await c.run(2_500);
+	assert.equal(c.leadership.authority(), null);
+});
+
+test("a campaign without an answer is decided by reading the key back", async () => {
+	const mine = candidate([]);
+	mine.leadership.releaseStartHold();
+	mine.faults.loseAnswers = true;
+	await mine.run(300);
+	assert.equal(mine.won[0], mine.service.rows.get("r/one/leader")?.stamp, "the put had been applied");
+
+	const theirs = candidate([]);
+	theirs.leadership.releaseStartHold();
+	theirs.faults.loseAnswers = true;
+	const changes = [{ put: "r/one/leader", v: { node: "a" } }];
+	// biome-ignore lint/suspicious/noThenProperty: the state service's own word for the changes
+	await theirs.service.handle("POST", "/multi", { when: [], then: changes }, "a");
+	theirs.leadership.tick(null, true);
+	await theirs.time.advance(500);
+	assert.deepEqual(theirs.won, [], "the key is another node's");
+	assert.deepEqual(theirs.service.rows.get("r/one/leader")?.v, { node: "a" });
+});
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -158,7 +158,9 @@
 	const { tables, job, machine, attempt } = withOneSent();
 	applyReport(tables, report(2, [task(0, attempt.number, "exited", "done")]), 100);
 	assert.ok(job.done.has(0));
-	assert.deepEqual(ordersFor(tables, machine), []);
+	machine.marked = true;
+	assert.deepEqual(ordersFor(tables, machine), [], "a takeover now would lose it");
+	machine.marked = false;
 	job.durable.add(0);
 	assert.deepEqual(ordersFor(tables, machine), [], "the last one is kept as a handle");
 	assert.equal(machine.handle?.attempt, attempt.number);
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -22,7 +22,7 @@
 	sick?: string;
 	taken?: { piece: string; in_s: number };
 	cloud_outage?: boolean;
-	lose_answers?: { to: string; path: string };
+	lose_answers?: { to: string; path: string; method?: string };
 	no_faults?: boolean;
 	expect?: Expectation;
 }
@@ -90,9 +90,11 @@
 		}
 		if (step.cloud_outage !== undefined) world.cloud.outage = step.cloud_outage;
 		if (step.lose_answers) {
-			const { to, path } = step.lose_answers;
-			world.network.fault = (_from, target, _method, p) =>
-				(target === to || target.startsWith(to)) && p.startsWith(path) ? { loseAnswer: true } : {};
+			const { to, path, method } = step.lose_answers;
+			world.network.fault = (_from, target, m, p) =>
+				(target === to || target.startsWith(to)) && p.startsWith(path) && (method ?? m) === m
+					? { loseAnswer: true }
+					: {};
 		}
 		if (step.no_faults) world.network.fault = () => ({});
 		if (step.expect) {
