--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -27,7 +27,7 @@
 /** Work mostly done is not thrown away. */
 function young(attempt: Attempt, now: number): boolean {
 	if (attempt.runningAt === null || attempt.job.spec.checkpointS > 0) return true;
-	return now - attempt.runningAt < 0.25 * attempt.job.estimateS * 1000;
+	return now - attempt.runningAt < 0.5 * attempt.job.estimateS * 1000;
 }
 
 function beyondGuarantee(tables: Tables, team: string, freedCpus: number): boolean {
