--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -37,6 +37,8 @@
 	starts?: Record<string, number>;
 	leader?: string;
 	machines_at_most?: number;
+	/** Rental requests by different names that got machines. */
+	rentals?: number;
 }
 
 interface Trace {
@@ -124,5 +126,6 @@
 		const leader = world.leaderNode();
 		assert.ok(leader !== null && named(e.leader).includes(leader), `leader is ${leader}`);
 	}
+	if (e.rentals !== undefined) assert.equal(world.cloud.requests.size, e.rentals, tail());
 	if (e.machines_at_most !== undefined) assert.ok(world.cloud.hosts.size <= e.machines_at_most, tail());
 }
