--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -41,6 +41,9 @@
 	readonly failedJobs = new Set<string>();
 	/** After a failure only one task at a time is risked until one succeeds. */
 	suspect = false;
+	/** Runs finished here against the mean of their jobs, to find machines that are much too slow. */
+	runs = 0;
+	runRatio = 0;
 	/** Exited attempts that it still lists. */
 	exited: { job: string; index: number; attempt: number; done: boolean }[] = [];
 	/** An exited attempt left unforgotten, to be forgotten when a report is wanted. */
@@ -123,6 +126,18 @@
 	}
 }
 
+/** Fewer runs than this say nothing about a machine's speed: tasks of one job differ by half. */
+const runsToJudge = 6;
+/** Machines of one type differ by a tenth. */
+const tooSlow = 1.7;
+
+/** Notes a finished run; true if the machine is much slower than others with the same work. */
+export function noteRun(machine: Machine, seconds: number, meanSeconds: number): boolean {
+	machine.runs += 1;
+	machine.runRatio += (seconds / meanSeconds - machine.runRatio) / Math.min(machine.runs, runsToJudge);
+	return machine.runs >= runsToJudge && machine.runRatio > tooSlow;
+}
+
 /** Whether the job allows this machine at all. */
 export function machineAllowed(
 	spec: JobSpec,
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { Machine } from "../src/bookkeeping/machines.js";
+import { Machine, noteRun } from "../src/bookkeeping/machines.js";
 import { Quotas } from "../src/bookkeeping/quotas.js";
 import { countInPage, TaskSet, tasksPerPage } from "../src/bookkeeping/task-set.js";
 import { servingOrder } from "../src/coordination/ordering.js";
@@ -353,6 +353,20 @@
 	assert.deepEqual(chooseVictims(tables, [urgent], 6000), []);
 });
 
+test("a machine much slower than others with the same work is noticed, ordinary spread is not", () => {
+	const machine = (id: string) => new Machine(id, small, "a", true, 0);
+	const random = xoroshiro128plus(21);
+	const slow = machine("n-slow");
+	const usual = machine("n-usual");
+	let noticedAfter = 0;
+	for (let i = 1; i <= 60; i++) {
+		const factor = 0.6 + uniformInt(random, 0, 80) / 100;
+		assert.equal(noteRun(usual, 30 * factor, 30), false);
+		if (noteRun(slow, 60 * factor, 30) && noticedAfter === 0) noticedAfter = i;
+	}
+	assert.ok(noticedAfter >= 6 && noticedAfter <= 20, `after ${noticedAfter} runs`);
+});
+
 test("a done-set survives its pages, also one of 100,000 tasks in a store of 16 KiB values", () => {
 	const perPage = tasksPerPage(16);
 	const set = new TaskSet(100_000);
