Judge slow machines against others of their type

Judged by the mean of their jobs alone, sound machines were set aside: a job's short tasks end first, so the mean is too low.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -127,15 +127,30 @@
 }
 
 /** Fewer runs than this say nothing about a machine's speed: tasks of one job differ by half. */
-const runsToJudge = 6;
+const runsToJudge = 10;
 /** Machines of one type differ by a tenth. */
 const tooSlow = 1.7;
 
-/** Notes a finished run; true if the machine is much slower than others with the same work. */
-export function noteRun(machine: Machine, seconds: number, meanSeconds: number): boolean {
+export function noteRun(machine: Machine, seconds: number, meanSeconds: number): void {
 	machine.runs += 1;
 	machine.runRatio += (seconds / meanSeconds - machine.runRatio) / Math.min(machine.runs, runsToJudge);
-	return machine.runs >= runsToJudge && machine.runRatio > tooSlow;
+}
+
+/**
+ * Whether a machine runs its tasks much slower than others of its type do theirs.
+ * The ratios alone would mislead: a job's short tasks end first, so while it runs its
+ * mean is too low and every ratio too high.
+ */
+export function muchTooSlow(machine: Machine, all: Iterable<Machine>): boolean {
+	if (machine.runs < runsToJudge) return false;
+	let others = 0;
+	let sum = 0;
+	for (const other of all) {
+		if (other === machine || other.type.name !== machine.type.name || other.runs < runsToJudge) continue;
+		others += 1;
+		sum += other.runRatio;
+	}
+	return others >= 2 && machine.runRatio > (tooSlow * sum) / others;
 }
 
 /** Whether the job allows this machine at all. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,6 +1,6 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
-import { Machine, noteRun } from "../bookkeeping/machines.js";
+import { Machine, muchTooSlow, noteRun } from "../bookkeeping/machines.js";
 import { type FinalRecord, keys, type MachineRecord } from "../bookkeeping/records.js";
 import type { Replica } from "../bookkeeping/replica.js";
 import { tasksPerPage } from "../bookkeeping/task-set.js";
@@ -252,8 +252,8 @@
 			if (attempt.runningAt !== null) {
 				const seconds = (now - attempt.runningAt) / 1000;
 				// Enough runs for a mean, mostly on other machines.
-				const known = job.finishedRuns >= 4;
-				if (known && noteRun(machine, seconds, job.estimateS) && !machine.faulty) {
+				if (job.finishedRuns >= 4) noteRun(machine, seconds, job.estimateS);
+				if (!machine.faulty && muchTooSlow(machine, this.tables.machines.values())) {
 					machine.faulty = true;
 					this.ports.log.info({ machine: machine.id, ratio: machine.runRatio }, "set aside as much too slow");
 				}
