--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -6,7 +6,7 @@
 import type { OperatorSettings } from "../protocol/operator.js";
 import { asPeerMessage } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
-import { FrontDesk } from "./front-desk.js";
+import { JobService } from "./job-service.js";
 import { Leader } from "./leader.js";
 import { Leadership } from "./leadership.js";
 import { LocalCopy } from "./local-copy.js";
@@ -36,7 +36,7 @@
 export class Controller {
 	readonly mailbox: Mailbox;
 	readonly replica = new Replica();
-	readonly desk: FrontDesk;
+	readonly jobs: JobService;
 	private readonly copy: LocalCopy;
 	private readonly leadership: Leadership;
 	private leader: Leader | null = null;
@@ -85,7 +85,7 @@
 			log,
 			() => uniformInt(ports.random, 0, 999) / 1000,
 		);
-		this.desk = new FrontDesk(
+		this.jobs = new JobService(
 			this.replica,
 			this.copy,
 			store,
@@ -281,7 +281,7 @@
 
 /** Prices of spot machines move all the time; only what submissions depend on is compared. */
 function sameTypes(a: MachineType[], b: MachineType[]): boolean {
-	const shape = (types: MachineType[]) =>
+	const summary = (types: MachineType[]) =>
 		JSON.stringify(types.map((t) => [t.name, t.cpus, t.gpus, t.memoryGb, t.bootS, t.zones]));
-	return shape(a) === shape(b);
+	return summary(a) === summary(b);
 }
--- a/src/coordination/front-desk.ts
+++ b/src/coordination/job-service.ts
@@ -40,7 +40,7 @@
  * that users need no leader. What cannot be answered with certainty is answered
  * 503 at once.
  */
-export class FrontDesk {
+export class JobService {
 	constructor(
 		private readonly replica: Replica,
 		private readonly copy: LocalCopy,
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -23,7 +23,7 @@
 export type TransactionResult = { ok: true; epoch: number } | { ok: false; failed: string[]; epoch: number };
 
 /** Which share of the store's request rate a call draws on. */
-export type Urgency = "first" | "normal" | "background";
+export type RateClass = "first" | "normal" | "background";
 
 export interface StorePort {
 	/** null: there is no such key, as of the epoch given. */
@@ -32,7 +32,7 @@
 	transact(
 		conditions: StoreCondition[],
 		changes: StoreChange[],
-		urgency: Urgency,
+		rateClass: RateClass,
 	): Promise<TransactionResult>;
 	grantLease(ttlMs: number): Promise<number>;
 	renewLease(lease: number): Promise<void>;
--- a/src/main.ts
+++ b/src/main.ts
@@ -93,9 +93,9 @@
 
 	const app = frontApp(
 		{
-			submit: (spec) => controller.desk.submit(spec),
-			look: (id) => controller.desk.look(id),
-			abort: (id) => controller.desk.abort(id),
+			submit: (spec) => controller.jobs.submit(spec),
+			look: (id) => controller.jobs.look(id),
+			abort: (id) => controller.jobs.abort(id),
 			report: (report) => controller.report(report),
 			ready: () => controller.ready(),
 		},
--- a/src/transport/store-client.ts
+++ b/src/transport/store-client.ts
@@ -1,9 +1,9 @@
 import {
 	CallFailed,
+	type RateClass,
 	type StorePort,
 	type TimePort,
 	type TransactionResult,
-	type Urgency,
 } from "../coordination/ports.js";
 import {
 	epochFrom,
@@ -86,10 +86,10 @@
 	async transact(
 		conditions: StoreCondition[],
 		changes: StoreChange[],
-		urgency: Urgency,
+		rateClass: RateClass,
 	): Promise<TransactionResult> {
-		const reserve = urgency === "first" ? 0 : urgency === "normal" ? 1 : this.writeReserve;
-		await this.admit(this.writes, Math.max(changes.length, 0), reserve, urgency === "first" ? 1000 : 200);
+		const reserve = rateClass === "first" ? 0 : rateClass === "normal" ? 1 : this.writeReserve;
+		await this.admit(this.writes, Math.max(changes.length, 0), reserve, rateClass === "first" ? 1000 : 200);
 		await this.admit(this.requests, 1, 0, 300);
 		const answer = await this.http.call(
 			"POST",
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -184,9 +184,9 @@
 		});
 		const app = frontApp(
 			{
-				submit: (spec) => controller.desk.submit(spec),
-				look: (job) => controller.desk.look(job),
-				abort: (job) => controller.desk.abort(job),
+				submit: (spec) => controller.jobs.submit(spec),
+				look: (job) => controller.jobs.look(job),
+				abort: (job) => controller.jobs.abort(job),
 				report: (report) => controller.report(report),
 				ready: () => controller.ready(),
 			},
