Clean-up: one set of answer types, one price of a machine, state nobody read taken out

Adopted tasks are noted while a report is read instead of searched for again; the front takes its answer types from coordination; tests share one plain job. Behaviour is as it was.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -11,7 +11,6 @@
 	number: number;
 	machine: Machine;
 	phase: AttemptPhase;
-	decidedAt: number;
 	/** When it was first reported running, by the steady clock of this process. */
 	runningAt: number | null;
 	/** A stop was decided; it is repeated until the attempt is over. */
@@ -34,7 +33,6 @@
 	finishedSeconds = 0;
 	/** Machines on which tasks of this job failed since one last succeeded. */
 	readonly failedOn = new Set<string>();
-	failures = 0;
 	notBefore = 0;
 	/** Steady time at which this leader came to know it. */
 	knownAt = 0;
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -81,6 +81,10 @@
 		return !this.lost && !this.marked && !this.faulty && !this.returning && this.takenAt === null;
 	}
 
+	get hourlyPrice(): number {
+		return this.spot ? this.type.spotPrice : this.type.price;
+	}
+
 	get freeCpus(): number {
 		return this.type.cpus - this.usedCpus;
 	}
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -52,7 +52,9 @@
 	private listed = false;
 	private returning = false;
 	private nextReturn = 0;
-	private nextRound = 0;
+	private nextRound: number;
+	/** Unanswered for this long, a machine whose lease is over goes back. */
+	private readonly silentMs: number;
 
 	constructor(
 		private readonly tables: Tables,
@@ -60,6 +62,7 @@
 		private readonly time: TimePort,
 		private readonly settings: OperatorSettings,
 		private readonly listLagMs: number,
+		leaseMs: number,
 		private readonly requestPrefix: string,
 		private readonly hooks: FleetHooks,
 		private readonly log: Log,
@@ -67,6 +70,7 @@
 		// Machines that the leader before rented last are not listed yet: a first round
 		// before the first list would rent them again.
 		this.nextRound = time.now() + 500;
+		this.silentMs = leaseMs + settings.machines.silent_extra_s * 1000;
 	}
 
 	/** Called a few times a second, in the queue, with authority. */
@@ -234,7 +238,7 @@
 		for (const machine of counted) {
 			let work = 1;
 			for (const a of machine.attempts.values()) work += remainingOf(a, now, a.job.estimateS, cap);
-			const worth = work / Math.max(hourly(machine), 1e-6);
+			const worth = work / Math.max(machine.hourlyPrice, 1e-6);
 			if (worth < least) {
 				best = machine;
 				least = worth;
@@ -417,7 +421,7 @@
 		// returned is proved gone at once, and so are the tasks on it.
 		if (machine.takenAt !== null && now >= machine.takenAt - takenLeadMs) return "about to be taken";
 		const held = machine.attempts.size > 0 || machine.hidden;
-		if (machine.lost && now - machine.answeredAt > this.silentMs(machine)) return "silent";
+		if (machine.lost && now - machine.answeredAt > this.silentMs) return "silent";
 		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
 		if (!machine.up && !machine.hidden && now - machine.rentedAt > bootMs) return "never came up";
 		if (held) return null;
@@ -427,11 +431,6 @@
 		return null;
 	}
 
-	private silentMs(_machine: Machine): number {
-		return this.leaseMs + this.settings.machines.silent_extra_s * 1000;
-	}
-	leaseMs = 0;
-
 	private returns(now: number): void {
 		if (this.returning || now < this.nextReturn) return;
 		const leaving: Machine[] = [];
@@ -483,10 +482,6 @@
 	return offer.price / offer.type.cpus;
 }
 
-function hourly(machine: Machine): number {
-	return machine.spot ? machine.type.spotPrice : machine.type.price;
-}
-
 function cheapest(types: Iterable<MachineType>): Offer[] {
 	const offers: Offer[] = [];
 	for (const type of types) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -95,11 +95,11 @@
 			ports.time,
 			settings,
 			cluster.cloud.list_lag_s * 1000,
+			this.leaseMs,
 			requestPrefix,
 			{ post: ports.post, authority: () => this.active, gone: (m) => this.machineGone(m) },
 			ports.log,
 		);
-		this.fleet.leaseMs = this.leaseMs;
 		this.beganAt = ports.time.now();
 		this.rebuild();
 	}
@@ -263,13 +263,11 @@
 			machine.suspect = false;
 			machine.failedJobs.clear();
 			job.failedOn.clear();
-			job.failures = 0;
 			this.finishIfDone(job);
 			return;
 		}
 		if (cause !== "error" && cause !== "unknown") return;
 		this.ports.log.info({ machine: machine.id, job: job.id, task: attempt.index, cause }, "task failed");
-		job.failures += 1;
 		job.failedOn.add(machine.id);
 		if (job.doomed) {
 			// It fails everywhere: tried again with growing pauses.
@@ -663,10 +661,7 @@
 			const start = Math.floor((order.indexOf(placer) * views.length) / order.length);
 			if (placer === this.self) {
 				const copy = views.map((v) => ({ ...v }));
-				this.issue(
-					placeFirstFit(copy, share, (id) => this.tables.jobs.get(id)?.spec, start),
-					now,
-				);
+				this.issue(placeFirstFit(copy, share, (id) => this.tables.jobs.get(id)?.spec, start));
 				continue;
 			}
 			this.outstanding.set(placer, { cycle: this.cycle, sentAt: now });
@@ -682,12 +677,12 @@
 	}
 
 	/** Checks every proposal against the leader's own tables. */
-	private issue(placements: Placement[], now: number): void {
+	private issue(placements: Placement[]): void {
 		for (const p of placements) {
 			const job = this.tables.jobs.get(p.job);
 			const machine = this.tables.machines.get(p.machine);
 			if (!job || !machine || !Number.isInteger(p.count)) continue;
-			for (let i = 0; i < p.count; i++) if (!this.tables.decide(job, machine, now)) break;
+			for (let i = 0; i < p.count; i++) if (!this.tables.decide(job, machine)) break;
 		}
 	}
 
@@ -699,7 +694,7 @@
 		const asked = this.outstanding.get(from);
 		if (!asked || asked.cycle !== message.cycle) return;
 		this.outstanding.delete(from);
-		if (Array.isArray(message.placements)) this.issue(message.placements, now);
+		if (Array.isArray(message.placements)) this.issue(message.placements);
 	}
 
 	/** Who may start how much now: guarantees first, then borrowing; urgent before the rest. */
@@ -749,7 +744,7 @@
 }
 
 function pricePerCpu(machine: Machine): number {
-	return (machine.spot ? machine.type.spotPrice : machine.type.price) / machine.type.cpus;
+	return machine.hourlyPrice / machine.type.cpus;
 }
 
 function viewOf(machine: Machine): ViewMachine {
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -69,7 +69,7 @@
 			exited(tables, machine, task);
 			const job = tables.jobs.get(task.job);
 			if (task.cause === "done" && job && task.index < job.spec.tasks) foundDone(tables, job, task.index);
-		} else adoptOrRefuse(tables, machine, task, now);
+		} else if (adoptOrRefuse(tables, machine, task, now)) listed.add(taskKey(task.job, task.index));
 	}
 
 	const vanished: Attempt[] = [];
@@ -78,7 +78,6 @@
 		// Tasks of a lease that expired were killed. Otherwise absence counts only
 		// once older answers are known to be dead, that is, from a confirmed machine.
 		if (!newSession && !machine.confirmed) continue;
-		if (adoptedNow(attempt, report)) continue;
 		if (attempt.phase === "sent" && !newSession && attempt.stop === null) {
 			// The answer with the start was lost; it is sent again with the same number.
 			attempt.phase = "assigned";
@@ -90,16 +89,6 @@
 	return { kind: "applied", machine, outcomes, vanished, isNew };
 }
 
-function adoptedNow(attempt: Attempt, report: WorkerReport): boolean {
-	return report.tasks.some(
-		(t) =>
-			t.attempt === attempt.number &&
-			t.index === attempt.index &&
-			t.job === attempt.job.id &&
-			t.state !== "exited",
-	);
-}
-
 function exited(tables: Tables, machine: Machine, task: ReportedTask): void {
 	machine.exited.push({
 		job: task.job,
@@ -127,7 +116,8 @@
 	}
 }
 
-function adoptOrRefuse(tables: Tables, machine: Machine, task: ReportedTask, now: number): void {
+/** True if the task is this machine's from now on. */
+function adoptOrRefuse(tables: Tables, machine: Machine, task: ReportedTask, now: number): boolean {
 	const job = tables.jobs.get(task.job);
 	const wanted =
 		job !== undefined &&
@@ -136,9 +126,10 @@
 		!job.attempts.has(task.index);
 	if (!wanted) {
 		machine.unwanted.push({ job: task.job, index: task.index, attempt: task.attempt });
-		return;
+		return false;
 	}
-	progress(tables.adopt(job, task.index, task.attempt, machine, now), task, now);
+	progress(tables.adopt(job, task.index, task.attempt, machine), task, now);
+	return true;
 }
 
 /** Whether the outcome of an exited attempt can no longer be lost with the machine's report. */
--- a/src/coordination/tables.ts
+++ b/src/coordination/tables.ts
@@ -94,7 +94,7 @@
 	}
 
 	/** Decides to start the job's next waiting task on the machine, if every rule allows it. */
-	decide(job: Job, machine: Machine, now: number): Attempt | null {
+	decide(job: Job, machine: Machine): Attempt | null {
 		if (job.waiting.length === 0 || this.refusal(job, machine) !== null) return null;
 		let index = job.waiting.pop() as number;
 		while (job.done.has(index) || job.attempts.has(index)) {
@@ -108,7 +108,6 @@
 			number: this.nextAttempt(),
 			machine,
 			phase: "assigned",
-			decidedAt: now,
 			runningAt: null,
 			stop: null,
 		};
@@ -117,14 +116,13 @@
 	}
 
 	/** Takes over an attempt of an earlier leader that a worker has listed. */
-	adopt(job: Job, index: number, number: number, machine: Machine, now: number): Attempt {
+	adopt(job: Job, index: number, number: number, machine: Machine): Attempt {
 		const attempt: Attempt = {
 			job,
 			index,
 			number,
 			machine,
 			phase: "sent",
-			decidedAt: now,
 			runningAt: null,
 			stop: null,
 		};
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -1,7 +1,9 @@
 import { createAdaptorServer } from "@hono/node-server";
 import { Hono } from "hono";
+import type { Reported } from "../coordination/controller.js";
+import type { Looked, Submitted } from "../coordination/job-service.js";
 import type { Log } from "../coordination/ports.js";
-import type { JobSpec, JobStatus, Order, WorkerReport } from "../protocol/model.js";
+import type { JobSpec, WorkerReport } from "../protocol/model.js";
 import {
 	elsewhereBody,
 	isJobId,
@@ -15,31 +17,12 @@
 
 const maxBody = 64 * 1024;
 
-export type SubmitResult =
-	| { kind: "accepted" | "known"; status: JobStatus }
-	| { kind: "impossible"; reason: string }
-	| { kind: "later"; reason: string };
-
-export type LookResult =
-	| { kind: "job"; status: JobStatus; done: number; running: number }
-	| { kind: "unknown" }
-	| { kind: "later"; reason: string };
-
-export type AbortResult =
-	| { kind: "job"; status: JobStatus }
-	| { kind: "unknown" }
-	| { kind: "later"; reason: string };
-
-export type ReportResult =
-	| { kind: "orders"; token: number; orders: Order[] }
-	| { kind: "elsewhere"; node: string | null };
-
 /** What the front needs of the service behind it. */
 export interface Service {
-	submit(spec: JobSpec): Promise<SubmitResult>;
-	look(id: string): Promise<LookResult>;
-	abort(id: string): Promise<AbortResult>;
-	report(report: WorkerReport): Promise<ReportResult>;
+	submit(spec: JobSpec): Promise<Submitted>;
+	look(id: string): Promise<Looked>;
+	abort(id: string): Promise<Looked>;
+	report(report: WorkerReport): Promise<Reported>;
 	ready(): boolean;
 }
 
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -19,6 +19,7 @@
 } from "../src/coordination/scaling.js";
 import { Tables } from "../src/coordination/tables.js";
 import type { JobSpec, MachineType, Priority } from "../src/protocol/model.js";
+import { specOf } from "./support/specs.js";
 
 const small: MachineType = {
 	name: "small",
@@ -33,31 +34,6 @@
 	zones: ["a", "b"],
 };
 
-function specOf(id: string, more: Partial<JobSpec> = {}): JobSpec {
-	return {
-		id,
-		lane: "x",
-		team: "red",
-		priority: "normal",
-		tasks: 4,
-		cpus: 2,
-		gpus: 0,
-		memoryGb: 1,
-		types: null,
-		zone: null,
-		oneZone: false,
-		spread: false,
-		spot: true,
-		image: "img",
-		imageGb: 1,
-		estimateS: 10,
-		checkpointS: 0,
-		saveS: 0,
-		deadlineS: null,
-		...more,
-	};
-}
-
 function tablesWith(machines: number, cpusMax = 8): Tables {
 	const tables = new Tables(
 		7,
@@ -191,7 +167,7 @@
 			const job = jobs[uniformInt(random, 0, 2)] as (typeof jobs)[number];
 			const machine = tables.machines.get(`n-${uniformInt(random, 0, 3)}`) as Machine;
 			if (uniformInt(random, 0, 2) > 0) {
-				const attempt = tables.decide(job, machine, 0);
+				const attempt = tables.decide(job, machine);
 				if (attempt) {
 					assert.ok(!seen.has(attempt.number), "attempt numbers never repeat");
 					assert.ok(Number.isSafeInteger(attempt.number));
@@ -221,9 +197,9 @@
 	job.fillWaiting();
 	const [first, second] = [...tables.machines.values()] as [Machine, Machine];
 	second.hidden = true;
-	assert.equal(tables.decide(job, first, 0), null);
+	assert.equal(tables.decide(job, first), null);
 	second.hidden = false;
-	assert.notEqual(tables.decide(job, first, 0), null);
+	assert.notEqual(tables.decide(job, first), null);
 });
 
 test("quotas count room by the tighter of cores and accelerators", () => {
@@ -309,7 +285,7 @@
 	job.fillWaiting();
 	for (const machine of tables.machines.values()) {
 		for (;;) {
-			const attempt = tables.decide(job, machine, 0);
+			const attempt = tables.decide(job, machine);
 			if (!attempt) break;
 			attempt.phase = "running";
 			attempt.runningAt = since;
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -4,7 +4,8 @@
 import { Replica } from "../src/bookkeeping/replica.js";
 import { applyReport, ordersFor } from "../src/coordination/reports.js";
 import { Tables } from "../src/coordination/tables.js";
-import type { JobSpec, ReportedTask, WorkerReport } from "../src/protocol/model.js";
+import type { ReportedTask, WorkerReport } from "../src/protocol/model.js";
+import { specOf } from "./support/specs.js";
 
 const type = {
 	name: "small",
@@ -18,27 +19,7 @@
 	bootS: 30,
 	zones: ["a"],
 };
-const spec: JobSpec = {
-	id: "j-1",
-	lane: "x",
-	team: "red",
-	priority: "normal",
-	tasks: 4,
-	cpus: 1,
-	gpus: 0,
-	memoryGb: 1,
-	types: null,
-	zone: null,
-	oneZone: false,
-	spread: false,
-	spot: true,
-	image: "img",
-	imageGb: 1,
-	estimateS: 10,
-	checkpointS: 0,
-	saveS: 0,
-	deadlineS: null,
-};
+const spec = specOf("j-1", { cpus: 1 });
 const epoch = 41;
 
 function fresh() {
@@ -84,7 +65,7 @@
 	const machine = tables.machines.get("n-1");
 	assert.ok(machine);
 	machine.durable = true;
-	const attempt = tables.decide(job, machine, 0);
+	const attempt = tables.decide(job, machine);
 	assert.ok(attempt);
 	const orders = ordersFor(tables, machine);
 	assert.deepEqual(orders, [{ op: "start", job: "j-1", index: 0, attempt: attempt.number }]);
@@ -97,16 +78,12 @@
 	const machine = tables.machines.get("n-1");
 	assert.ok(machine);
 	machine.durable = true;
-	assert.equal(
-		tables.decide(job, machine, 0),
-		null,
-		"its answers of an earlier leader may still be on the way",
-	);
+	assert.equal(tables.decide(job, machine), null, "its answers of an earlier leader may still be on the way");
 	applyReport(tables, report(2), 0);
 	machine.durable = false;
-	assert.equal(tables.decide(job, machine, 0), null, "a later leader would not know of it");
+	assert.equal(tables.decide(job, machine), null, "a later leader would not know of it");
 	machine.durable = true;
-	assert.notEqual(tables.decide(job, machine, 0), null);
+	assert.notEqual(tables.decide(job, machine), null);
 });
 
 test("a start whose answer was lost is sent again with the same number", () => {
@@ -194,7 +171,7 @@
 
 test("the end of a job withdraws what is not sent and stops the rest until it is over", () => {
 	const { tables, job, machine, attempt } = withOneSent();
-	const second = tables.decide(job, machine, 0);
+	const second = tables.decide(job, machine);
 	assert.ok(second);
 	const still = tables.endJob(job);
 	assert.deepEqual(still, [attempt]);
