--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -9,6 +9,7 @@
 	climb,
 	loadOf,
 	machinesToCut,
+	machinesToSpare,
 	type Offer,
 	offerKey,
 	offersFor,
@@ -148,7 +149,7 @@
 		const oldest = this.oldestWaiting(now);
 		if (n === 0) {
 			// With nothing to run, no machine is kept; the first job to wait rents one.
-			if (oldest && !this.unmark()) this.rentFor(oldest, work, unitS, n, cpus, now);
+			if (oldest && !this.unmark(work, unitS, n, cpus)) this.rentFor(oldest, work, unitS, n, cpus, now);
 			return;
 		}
 		const unheld = this.unheldJob(counted, now);
@@ -165,34 +166,10 @@
 		);
 		this.counters = counters;
 		if (action !== "up" && counters.up === 0) this.patience = 0;
-		this.log.debug(
-			{ work: Math.round(work), n, cpus, ...counters, action, teams: this.teamState() },
-			"round",
-		);
+		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action }, "round");
 		if (action === "up") {
-			if (!this.unmark() && oldest) this.rentFor(oldest, work, unitS, n, cpus, now);
-		} else if (action === "down") this.mark(counted, now);
-	}
-
-	private teamState(): string[] {
-		const lines: string[] = [];
-		for (const name of this.tables.quotas.names) {
-			let waiting = 0;
-			let jobs = 0;
-			const phases: Record<string, number> = {};
-			for (const job of this.tables.jobs.values()) {
-				if (job.spec.team !== name) continue;
-				jobs += 1;
-				waiting += job.waiting.length;
-				for (const a of job.attempts.values()) phases[a.phase] = (phases[a.phase] ?? 0) + 1;
-			}
-			if (jobs > 0) {
-				lines.push(
-					`${name} ${jobs}j ${waiting}w ${this.tables.quotas.use(name).cpus}c ${JSON.stringify(phases)}`,
-				);
-			}
-		}
-		return lines;
+			if (!this.unmark(work, unitS, n, cpus) && oldest) this.rentFor(oldest, work, unitS, n, cpus, now);
+		} else if (action === "down") this.mark(counted, work, unitS, cpus, now);
 	}
 
 	/** The oldest job with waiting tasks that may run now, urgent ones first. */
@@ -215,38 +192,42 @@
 		return null;
 	}
 
-	private unmark(): boolean {
+	/** Takes marks back until the load is down to the high mark; false if there was none. */
+	private unmark(work: number, unitS: number, n: number, cpus: number): boolean {
+		const highPerCpu = this.settings.climb.high * unitS;
+		const back: string[] = [];
 		for (const machine of this.tables.machines.values()) {
-			if (machine.marked && !machine.returning && !machine.lost) {
-				machine.marked = false;
-				this.tables.changed = true;
-				this.log.info({ machine: machine.id }, "unmarked");
-				return true;
-			}
+			if (!machine.marked || machine.returning || machine.lost) continue;
+			machine.marked = false;
+			back.push(machine.id);
+			cpus += machine.type.cpus;
+			n += 1;
+			if (loadOf(work, n) <= highPerCpu * (cpus / n)) break;
 		}
-		return false;
+		if (back.length === 0) return false;
+		this.tables.changed = true;
+		this.log.info({ machines: back }, "unmarked");
+		return true;
 	}
 
 	/**
-	 * Marks the machine with the least remaining work for its price: of two that are
+	 * Marks those with the least remaining work for their price: of two that are
 	 * about as busy, the dear one goes.
 	 */
-	private mark(counted: Machine[], now: number): void {
+	private mark(counted: Machine[], work: number, unitS: number, cpus: number, now: number): void {
 		const cap = this.settings.climb.cap_s;
-		let best: Machine | null = null;
-		let least = Number.POSITIVE_INFINITY;
-		for (const machine of counted) {
-			let work = 1;
-			for (const a of machine.attempts.values()) work += remainingOf(a, now, a.job.estimateS, cap);
-			const worth = work / Math.max(machine.hourlyPrice, 1e-6);
-			if (worth < least) {
-				best = machine;
-				least = worth;
-			}
-		}
-		if (!best) return;
-		best.marked = true;
-		this.log.info({ machine: best.id, tasks: best.attempts.size }, "marked to drain and return");
+		const ranked = counted
+			.map((machine) => {
+				let left = 1;
+				for (const a of machine.attempts.values()) left += remainingOf(a, now, a.job.estimateS, cap);
+				return { machine, worth: left / Math.max(machine.hourlyPrice, 1e-6) };
+			})
+			.sort((a, b) => a.worth - b.worth);
+		const leaving = ranked.map((r) => r.machine.type.cpus);
+		const k = machinesToSpare(work, counted.length, cpus, leaving, this.settings.climb.low * unitS);
+		const marked = ranked.slice(0, k).map((r) => r.machine);
+		for (const machine of marked) machine.marked = true;
+		this.log.info({ machines: marked.map((m) => m.id) }, "marked to drain and return");
 	}
 
 	private rentFor(job: Job | null, work: number, unitS: number, n: number, cpus: number, now: number): void {
--- a/src/coordination/scaling.ts
+++ b/src/coordination/scaling.ts
@@ -80,6 +80,31 @@
 	return k;
 }
 
+/**
+ * Machines that can go, of those given in order, before the load is above the low
+ * mark: the counterpart of `machinesToCut`, so that a fleet of hundreds does not
+ * shrink by one at a time. Never more than an eighth at once: load comes in waves,
+ * and a machine that went too early takes a boot to replace.
+ */
+export function machinesToSpare(
+	work: number,
+	machines: number,
+	cpus: number,
+	leaving: readonly number[],
+	lowPerCpu: number,
+): number {
+	const most = Math.max(1, Math.floor(machines / 8));
+	let left = cpus;
+	for (let k = 0; k < leaving.length; k++) {
+		if (k === most) return k;
+		left -= leaving[k] as number;
+		const n = machines - k - 1;
+		// The first is what the counter has asked for, whatever the load is without it.
+		if (k > 0 && (n < 1 || loadOf(work, n) > lowPerCpu * (left / n))) return k;
+	}
+	return leaving.length;
+}
+
 export interface Offer {
 	type: MachineType;
 	zone: string;
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,7 +8,7 @@
 import { defaultOperator, parseOperator } from "./protocol/operator.js";
 import { parsePlatform, readText, SettingsError } from "./protocol/settings.js";
 import { CloudClient } from "./transport/cloud-client.js";
-import { frontApp, listenFront } from "./transport/front-server.js";
+import { listenFront, type Service } from "./transport/front-server.js";
 import { HttpClient } from "./transport/http-client.js";
 import { PeerLinks } from "./transport/peer-link.js";
 import { StoreClient } from "./transport/store-client.js";
@@ -91,21 +91,18 @@
 		schedule: setImmediate,
 	});
 
-	const app = frontApp(
-		{
-			submit: (spec) => controller.jobs.submit(spec),
-			look: (id) => controller.jobs.look(id),
-			abort: (id) => controller.jobs.abort(id),
-			report: (report) => controller.report(report),
-			ready: () => controller.ready(),
-		},
-		log,
-	);
+	const service: Service = {
+		submit: (spec) => controller.jobs.submit(spec),
+		look: (id) => controller.jobs.look(id),
+		abort: (id) => controller.jobs.abort(id),
+		report: (report) => controller.report(report),
+		ready: () => controller.ready(),
+	};
 	const front = split(platform.front);
 	const back = split(platform.back);
 	// Sockets are kept back for the store, the cloud, workers and the other controllers.
 	const sockets = Math.max(16, Math.floor(cluster.resources.fd_limit * 0.8) - 60);
-	const server = await listenFront(app, front.host, front.port, sockets, log);
+	const server = await listenFront(service, front.host, front.port, sockets, log);
 	await peers.listen(back.host, back.port);
 	controller.start();
 	log.info({ front: platform.front, back: platform.back, version: version }, "started");
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -1,4 +1,5 @@
-import { createAdaptorServer } from "@hono/node-server";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { getRequestListener } from "@hono/node-server";
 import { Hono } from "hono";
 import type { Reported } from "../coordination/controller.js";
 import type { Looked, Submitted } from "../coordination/job-service.js";
@@ -16,6 +17,7 @@
 } from "../protocol/wire.js";
 
 const maxBody = 64 * 1024;
+const bodyTooLarge = `the body is larger than ${maxBody} bytes`;
 
 /** What the front needs of the service behind it. */
 export interface Service {
@@ -55,7 +57,7 @@
 		Response.json({ error: reason }, { status: 503, headers: { "retry-after": "1" } });
 	const failure = (status: number, error: string, headers?: Record<string, string>) =>
 		Response.json({ error }, { status, headers });
-	const tooLarge = () => failure(413, `the body is larger than ${maxBody} bytes`);
+	const tooLarge = () => failure(413, bodyTooLarge);
 	const wrongMethod = (allow: string) => () =>
 		failure(405, `the method is not allowed here, use ${allow}`, { allow });
 
@@ -63,16 +65,6 @@
 		service.ready() ? Response.json({ ready: true }) : later("the node is starting"),
 	);
 
-	app.post(paths.report, async (c) => {
-		const body = await bodyText(c.req.raw);
-		if (body === null) return tooLarge();
-		const result = await service.report(parseReport(body));
-		if (result.kind === "elsewhere") {
-			return Response.json(elsewhereBody(result.node), { status: 421 });
-		}
-		return Response.json(ordersBody(result.token, result.orders));
-	});
-
 	app.post(paths.jobs, async (c) => {
 		const body = await bodyText(c.req.raw);
 		if (body === null) return tooLarge();
@@ -125,19 +117,69 @@
 	return app;
 }
 
+/**
+ * Reports are most of what a leader hears: hundreds a second for a small share of a
+ * core. They pass by the routes and objects that users' requests go through.
+ */
+export function reportListener(service: Pick<Service, "report">, log: Log) {
+	return (request: IncomingMessage, response: ServerResponse): void => {
+		const answer = (status: number, body: object, headers?: Record<string, string>) => {
+			if (response.headersSent || response.destroyed) return;
+			const text = JSON.stringify(body);
+			response.writeHead(status, {
+				"content-type": "application/json",
+				"content-length": Buffer.byteLength(text),
+				...headers,
+			});
+			response.end(text);
+		};
+		const failed = (error: unknown) => {
+			if (error instanceof Malformed) return answer(400, { error: error.message });
+			const { message, stack } = error as Error;
+			log.error({ err: message, stack }, "request failed");
+			answer(503, { error: "the request could not be handled" }, { "retry-after": "1" });
+		};
+		const chunks: Buffer[] = [];
+		let size = 0;
+		request.on("data", (chunk: Buffer) => {
+			size += chunk.length;
+			if (size <= maxBody) chunks.push(chunk);
+			else answer(413, { error: bodyTooLarge }, { connection: "close" });
+		});
+		request.on("error", () => {});
+		request.on("end", () => {
+			if (size > maxBody) return;
+			const body = chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks);
+			try {
+				service.report(parseReport(body.toString("utf8"))).then((result) => {
+					if (result.kind === "elsewhere") answer(421, elsewhereBody(result.node));
+					else answer(200, ordersBody(result.token, result.orders));
+				}, failed);
+			} catch (error) {
+				failed(error);
+			}
+		});
+	};
+}
+
 export interface Front {
 	port: number;
 	close(): void;
 }
 
 export async function listenFront(
-	app: Hono,
+	service: Service,
 	host: string,
 	port: number,
 	maxConnections: number,
 	log: Log,
 ): Promise<Front> {
-	const server = createAdaptorServer({ fetch: app.fetch }) as import("node:http").Server;
+	const others = getRequestListener(frontApp(service, log).fetch);
+	const reports = reportListener(service, log);
+	const server = createServer((request, response) => {
+		if (request.method === "POST" && request.url === paths.report) reports(request, response);
+		else void others(request, response);
+	});
 	// Idle and half-open connections must not use up the sockets.
 	server.keepAliveTimeout = 65_000;
 	server.headersTimeout = 10_000;
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -13,6 +13,7 @@
 	climb,
 	loadOf,
 	machinesToCut,
+	machinesToSpare,
 	rankOffers,
 	remainingOfRunning,
 	remainingOfWaiting,
@@ -257,6 +258,18 @@
 	assert.equal(machinesToCut(1e9, 0, 0, 4, highPerCpu, 50), 50);
 });
 
+test("as many machines go as bring the load to the low mark, at most an eighth at once", () => {
+	const small = (n: number) => Array.from({ length: n }, () => 4);
+	assert.equal(machinesToSpare(0, 400, 1600, small(400), 10), 50);
+	assert.equal(machinesToSpare(0, 3, 12, small(3), 10), 1);
+	assert.equal(machinesToSpare(0, 1, 4, small(1), 10), 1, "the counter has decided about the first");
+	// 100 machines of 4 cores at 10 core seconds each: the mark is reached with 95 of them.
+	const k = machinesToSpare(3780, 100, 400, small(100), 10);
+	assert.equal(k, 5);
+	assert.ok(loadOf(3780, 100 - k) <= 40 && loadOf(3780, 100 - k - 1) > 40);
+	assert.equal(machinesToSpare(5000, 100, 400, small(100), 10), 1, "no room for more than one");
+});
+
 test("offers are ranked by what a needed core costs", () => {
 	const big: MachineType = { ...small, name: "big", cpus: 64, memoryGb: 128, price: 4, spotPrice: 1 };
 	const offer = (type: MachineType) => ({ type, zone: "a", spot: true, price: type.spotPrice });
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -158,23 +158,21 @@
 	assert.equal(later.headers.get("retry-after"), "1");
 	assert.equal((await app.request("/v1/jobs", { method: "DELETE" })).status, 405);
 	assert.equal((await app.request("/elsewhere")).status, 404);
-	const report = {
-		host: "n",
-		endpoint: "e:1",
-		shape: "s",
-		hall: "a",
-		shift: 1,
-		tick: 1,
-		baton: 0,
-		pieces: [],
-	};
-	const moved = await post("/v1/report", JSON.stringify(report));
-	assert.equal(moved.status, 421);
-	assert.deepEqual(await moved.json(), { foreman: "runner-2" });
 });
 
+const report = {
+	host: "n",
+	endpoint: "e:1",
+	shape: "s",
+	hall: "a",
+	shift: 1,
+	tick: 1,
+	baton: 0,
+	pieces: [],
+};
+
 test("the front serves over a socket, bounds bodies and survives garbage", async () => {
-	const front = await listenFront(frontApp(service, quiet), "127.0.0.1", 0, 50, quiet);
+	const front = await listenFront(service, "127.0.0.1", 0, 50, quiet);
 	try {
 		await new Promise<void>((resolve) => {
 			const socket = connect(front.port, "127.0.0.1", () => socket.write("nonsense\r\n\r\n"));
@@ -186,6 +184,14 @@
 		assert.equal((await client.call("GET", "/v1/jobs/j-1", undefined, 5000)).status, 200);
 		assert.equal((await client.call("POST", "/v1/jobs", { text: "x".repeat(70_000) }, 5000)).status, 413);
 		assert.equal((await client.call("GET", "/v1/jobs/j-1", undefined, 5000)).status, 200);
+		const moved = await client.call("POST", "/v1/report", report, 5000);
+		assert.deepEqual(moved, { status: 421, body: { foreman: "runner-2" } });
+		const bad = await client.call("POST", "/v1/report", { ...report, shift: -1 }, 5000);
+		assert.equal(bad.status, 400);
+		assert.match((bad.body as { error: string }).error, /"shift"/);
+		const large = { ...report, endpoint: "x".repeat(70_000) };
+		assert.equal((await client.call("POST", "/v1/report", large, 5000)).status, 413);
+		assert.equal((await client.call("GET", "/v1/report", undefined, 5000)).status, 405);
 		client.close();
 	} finally {
 		front.close();
