Records of machines and progress share values; hot paths of the leader follow what changed

Now many records share a value, written with the condition of its last revision; users' writes draw on the whole limit and the leader's keep to a part. Loops over all machines per report, per batch and per decision are gone.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -27,8 +27,8 @@
 	/** Set once the record that ends the job is being written. */
 	ending = false;
 	cancelled = false;
-	dirty = false;
-	writtenAt = -Infinity;
+	/** Pages of `done` that have changed since they were last handed to be written. */
+	readonly dirtyPages = new Set<number>();
 	finishedRuns = 0;
 	finishedSeconds = 0;
 	/** Machines on which tasks of this job failed since one last succeeded. */
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -10,11 +10,8 @@
 	leastSession = 0;
 	/** Its record is in the store, so a later leader knows that tasks may be here. */
 	durable = false;
-	writing = false;
 	/** It has reported since this leader's token reached it. */
 	confirmed = false;
-	/** It may hold tasks of an earlier leader that nobody has listed yet. */
-	hidden = false;
 	up = false;
 	/** Its lease expired unanswered. */
 	lost = false;
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -11,12 +11,12 @@
 	types: "r/one/types",
 	one: "r/one/",
 	jobs: "r/job/",
-	sets: "r/set/",
-	machines: "r/mach/",
+	/** Done-sets of live jobs, many to a value. */
+	progress: "r/prog/",
+	/** Machines that may hold tasks, many to a value. */
+	machines: "r/machs/",
 	finals: "r/fin/",
 	job: (id: string) => `r/job/${id}`,
-	set: (id: string, page: number) => `r/set/${id}/${page}`,
-	machine: (id: string) => `r/mach/${id}`,
 	final: (id: string) => `r/fin/${id}`,
 } as const;
 
@@ -37,8 +37,19 @@
 	done: number;
 }
 
-export interface SetRecord {
-	bits: string;
+/** Several small records in one value, by their names. */
+export interface SharedRecord<V> {
+	entries: Record<string, V>;
+}
+
+/** Name of a page of a job's done-set; its value is the page's bitmap as text. */
+export function pageName(job: string, page: number): string {
+	return `${job}/${page}`;
+}
+
+export function pageOf(name: string): { job: string; page: number } {
+	const at = name.lastIndexOf("/");
+	return { job: name.slice(0, at), page: Number(name.slice(at + 1)) };
 }
 
 export interface MachineRecord {
--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -6,7 +6,8 @@
 	keys,
 	type LeaderRecord,
 	type MachineRecord,
-	type SetRecord,
+	pageOf,
+	type SharedRecord,
 	type TypesRecord,
 } from "./records.js";
 import { countInPage } from "./task-set.js";
@@ -29,8 +30,11 @@
 	leader: Versioned<LeaderRecord> | null = null;
 	types: Versioned<MachineType[]> | null = null;
 	readonly jobs = new Map<string, Versioned<JobRecord>>();
-	readonly sets = new Map<string, Map<number, Versioned<SetRecord>>>();
-	readonly machines = new Map<string, Versioned<MachineRecord>>();
+	/** Shared values by their keys. */
+	readonly progress = new Map<string, Versioned<SharedRecord<string>>>();
+	readonly machines = new Map<string, Versioned<SharedRecord<MachineRecord>>>();
+	/** Pages of done-sets by job, as the values of `progress` have them. */
+	private readonly pages = new Map<string, Map<number, string>>();
 	/** The latest finals seen; older ones are read from the store when asked for. */
 	readonly finals = new Map<string, FinalRecord>();
 	private readonly listeners: ((key: string) => void)[] = [];
@@ -42,7 +46,8 @@
 	reset(rows: StoreRow[], epoch: number): void {
 		const before = [...this.jobs.keys()];
 		this.jobs.clear();
-		this.sets.clear();
+		this.progress.clear();
+		this.pages.clear();
 		this.machines.clear();
 		this.leader = null;
 		this.types = null;
@@ -82,17 +87,15 @@
 		} else if (key.startsWith(keys.finals)) {
 			const id = key.slice(keys.finals.length);
 			this.rememberFinal(id, value as FinalRecord);
-		} else if (key.startsWith(keys.sets)) {
-			const [id, page] = key.slice(keys.sets.length).split("/") as [string, string];
-			let pages = this.sets.get(id);
-			if (!pages) {
-				pages = new Map();
-				this.sets.set(id, pages);
-			}
-			if (newer(pages.get(Number(page)))) pages.set(Number(page), { value: value as SetRecord, revision });
+		} else if (key.startsWith(keys.progress)) {
+			const old = this.progress.get(key);
+			if (!newer(old)) return;
+			this.progress.set(key, { value: value as SharedRecord<string>, revision });
+			this.index(old?.value, value as SharedRecord<string>);
 		} else if (key.startsWith(keys.machines)) {
-			const id = key.slice(keys.machines.length);
-			if (newer(this.machines.get(id))) this.machines.set(id, { value: value as MachineRecord, revision });
+			if (newer(this.machines.get(key))) {
+				this.machines.set(key, { value: value as SharedRecord<MachineRecord>, revision });
+			}
 		} else if (key === keys.leader) {
 			if (newer(this.leader)) this.leader = { value: value as LeaderRecord, revision };
 		} else if (key === keys.types) {
@@ -105,19 +108,41 @@
 		if (key.startsWith(keys.jobs)) {
 			const id = key.slice(keys.jobs.length);
 			if (older(this.jobs.get(id))) this.jobs.delete(id);
-		} else if (key.startsWith(keys.sets)) {
-			const [id, page] = key.slice(keys.sets.length).split("/") as [string, string];
-			const pages = this.sets.get(id);
-			if (pages && older(pages.get(Number(page)))) pages.delete(Number(page));
-			if (pages?.size === 0) this.sets.delete(id);
+		} else if (key.startsWith(keys.progress)) {
+			const old = this.progress.get(key);
+			if (!older(old)) return;
+			this.progress.delete(key);
+			this.index(old?.value, { entries: {} });
 		} else if (key.startsWith(keys.machines)) {
-			const id = key.slice(keys.machines.length);
-			if (older(this.machines.get(id))) this.machines.delete(id);
+			if (older(this.machines.get(key))) this.machines.delete(key);
 		} else if (key === keys.leader) {
 			if (older(this.leader)) this.leader = null;
 		} else if (key === keys.types && older(this.types)) this.types = null;
 	}
 
+	/** Only what one value held and no longer holds leaves the index: pages may move between values. */
+	private index(before: SharedRecord<string> | undefined, after: SharedRecord<string>): void {
+		for (const [name, bits] of Object.entries(before?.entries ?? {})) {
+			if (name in after.entries) continue;
+			const { job, page } = pageOf(name);
+			const pages = this.pages.get(job);
+			if (pages?.get(page) !== bits) continue;
+			pages.delete(page);
+			if (pages.size === 0) this.pages.delete(job);
+		}
+		for (const [name, bits] of Object.entries(after.entries)) {
+			const { job, page } = pageOf(name);
+			const pages = this.pages.get(job);
+			if (pages) pages.set(page, bits);
+			else this.pages.set(job, new Map([[page, bits]]));
+		}
+	}
+
+	/** Bitmaps of the pages of a job's done-set. */
+	pagesOf(id: string): Iterable<[number, string]> {
+		return this.pages.get(id) ?? [];
+	}
+
 	rememberFinal(id: string, record: FinalRecord): void {
 		this.finals.set(id, record);
 		if (this.finals.size > finalsKept) {
@@ -128,7 +153,7 @@
 
 	doneCount(id: string): number {
 		let n = 0;
-		for (const page of this.sets.get(id)?.values() ?? []) n += countInPage(page.value.bits);
+		for (const [, bits] of this.pagesOf(id)) n += countInPage(bits);
 		return n;
 	}
 }
--- a/src/bookkeeping/task-set.ts
+++ b/src/bookkeeping/task-set.ts
@@ -1,3 +1,6 @@
+/** Multiple of eight so that pages begin on a byte; as text a page takes some 700 characters. */
+export const tasksPerPage = 4096;
+
 /** A set of task numbers of one job, kept as a bitmap. */
 export class TaskSet {
 	private readonly bits: Uint8Array;
@@ -27,12 +30,12 @@
 	}
 
 	/** One page of the bitmap as text, for a store record. */
-	page(number: number, tasksPerPage: number): string {
+	page(number: number): string {
 		const from = (number * tasksPerPage) >> 3;
 		return Buffer.from(this.bits.subarray(from, from + (tasksPerPage >> 3))).toString("base64");
 	}
 
-	addPage(number: number, tasksPerPage: number, text: string): void {
+	addPage(number: number, text: string): void {
 		const bytes = Buffer.from(text, "base64");
 		const from = number * tasksPerPage;
 		for (let i = 0; i < bytes.length * 8; i++) {
@@ -41,11 +44,6 @@
 	}
 }
 
-/** Multiple of eight so that pages begin on a byte; base64 of a page fits a value with room to spare. */
-export function tasksPerPage(valueKb: number): number {
-	return Math.max(8, Math.floor((valueKb * 1024 - 256) * 0.7) * 8);
-}
-
 export function countInPage(text: string): number {
 	let n = 0;
 	for (const byte of Buffer.from(text, "base64")) {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -7,7 +7,7 @@
 import { asPeerMessage } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import { JobService } from "./job-service.js";
-import { Leader } from "./leader.js";
+import { Leader, tickMs } from "./leader.js";
 import { Leadership } from "./leadership.js";
 import { LocalCopy } from "./local-copy.js";
 import { Mailbox } from "./mailbox.js";
@@ -29,7 +29,6 @@
 	| { kind: "orders"; token: number; orders: Order[] }
 	| { kind: "elsewhere"; node: string | null };
 
-const tickMs = 100;
 const typesEveryMs = 60_000;
 
 /** One controller: the owner of its process's state. */
@@ -253,8 +252,6 @@
 				}
 				case "running":
 					this.running = new Map(message.counts);
-					break;
-				case "ping":
 					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch });
 					break;
 				case "ask":
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -401,10 +401,11 @@
 		// A machine that vanishes proves nothing until its lease has run out; one that was
 		// returned is proved gone at once, and so are the tasks on it.
 		if (machine.takenAt !== null && now >= machine.takenAt - takenLeadMs) return "about to be taken";
-		const held = machine.attempts.size > 0 || machine.hidden;
+		const hidden = this.tables.hidden.has(machine);
+		const held = machine.attempts.size > 0 || hidden;
 		if (machine.lost && now - machine.answeredAt > this.silentMs) return "silent";
 		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
-		if (!machine.up && !machine.hidden && now - machine.rentedAt > bootMs) return "never came up";
+		if (!machine.up && !hidden && now - machine.rentedAt > bootMs) return "never came up";
 		if (held) return null;
 		if (machine.faulty) return "faulty";
 		if (machine.marked) return "drained";
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -116,14 +116,9 @@
 					tasks: record.value.spec.tasks,
 					done: state.done,
 				};
-				const pages = await this.enqueue(() => [...(this.replica.sets.get(id)?.keys() ?? [])]);
 				const result = await this.store.transact(
 					[{ key: keys.job(id), revision: record.revision }],
-					[
-						{ delete: keys.job(id) },
-						{ put: keys.final(id), value: final },
-						...pages.slice(0, 8).map((page) => ({ delete: keys.set(id, page) })),
-					],
+					[{ delete: keys.job(id) }, { put: keys.final(id), value: final }],
 					"first",
 				);
 				if (result.ok) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,7 +1,7 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
 import { Machine, muchTooSlow, noteRun } from "../bookkeeping/machines.js";
-import { type FinalRecord, keys, type MachineRecord } from "../bookkeeping/records.js";
+import { type FinalRecord, keys, type MachineRecord, pageName, pageOf } from "../bookkeeping/records.js";
 import type { Replica } from "../bookkeeping/replica.js";
 import { tasksPerPage } from "../bookkeeping/task-set.js";
 import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
@@ -17,6 +17,7 @@
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { chooseVictims } from "./preemption.js";
 import { applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
+import { SharedRecords } from "./shared-records.js";
 import { Tables } from "./tables.js";
 
 export interface LeaderPorts {
@@ -36,7 +37,6 @@
 }
 
 interface HeldReport {
-	machine: string;
 	until: number;
 	/** Held only in case work comes, not because a place is being filled. */
 	idle: boolean;
@@ -44,12 +44,20 @@
 }
 
 const expiryMarginMs = 500;
-const progressEveryMs = 1500;
+const progressEveryMs = 1000;
+const ledgerEveryMs = 150;
 const answerHoldMs = 150;
+const holdSweepMs = 30;
+/** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
+const probesPerTick = 12;
+/** With ticks later than this on the average, the process is short of processor time. */
+const busyMs = 40;
 /** A machine not heard for this long after a takeover is given back. */
 const hiddenPatienceMs = 2000;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
+/** How often `tick` is called. */
+export const tickMs = 100;
 const preemptAfterMs = 700;
 /** A task is given up on a machine about to be taken if it needs this many times what is left. */
 const hopelessFactor = 1.3;
@@ -63,15 +71,23 @@
 	private nextCycle = 0;
 	private readonly outstanding = new Map<string, Outstanding>();
 	private readonly heardFrom = new Map<string, number>();
-	private held: HeldReport[] = [];
-	private writing = false;
-	private nextWrite = 0;
+	private readonly held = new Map<string, HeldReport>();
+	private sweeping = false;
+	/** Machines with starts decided and not yet sent. */
+	private readonly assigned = new Set<Machine>();
+	/** Whether a task waits that may start, as found out in this batch; null: not looked yet. */
+	private waitingNow: boolean | null = null;
+	private probes: { machine: Machine; session: number; tries: number }[] = [];
+	private lateMs = 0;
+	private lastTick: number;
 	private nextPing = 0;
 	private readonly beganAt: number;
 	private hiddenReturned = false;
 	private nextPreemption = 0;
-	private readonly perPage: number;
+	private nextProgress = 0;
 	private readonly leaseMs: number;
+	private readonly ledger: SharedRecords<MachineRecord>;
+	private readonly progress: SharedRecords<string>;
 
 	constructor(
 		readonly epoch: number,
@@ -87,7 +103,6 @@
 	) {
 		const { cluster } = platform;
 		this.leaseMs = cluster.workers.lease_s * 1000;
-		this.perPage = tasksPerPage(cluster.state.value_kb);
 		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])));
 		this.fleet = new Fleet(
 			this.tables,
@@ -101,6 +116,30 @@
 			ports.log,
 		);
 		this.beganAt = ports.time.now();
+		this.lastTick = this.beganAt;
+		const shared = {
+			post: ports.post,
+			now: () => ports.time.now(),
+			lostKey: () => this.lostKey(),
+			failed: (error: unknown) => ports.log.debug({ err: String(error) }, "records not written"),
+		};
+		const mostBytes = Math.floor(cluster.state.value_kb * 1024 * 0.8);
+		this.ledger = new SharedRecords(
+			keys.machines,
+			this.leaderCondition(),
+			mostBytes,
+			ports.store,
+			{ ...shared, confirmed: (entries) => this.machinesDurable(entries.keys()) },
+			{ rateClass: "normal", everyMs: ledgerEveryMs, shrinkMs: 3000 },
+		);
+		this.progress = new SharedRecords(
+			keys.progress,
+			this.leaderCondition(),
+			mostBytes,
+			ports.store,
+			{ ...shared, confirmed: (entries) => this.pagesDurable(entries) },
+			{ rateClass: "background", everyMs: progressEveryMs, shrinkMs: 5000 },
+		);
 		this.rebuild();
 	}
 
@@ -110,7 +149,8 @@
 
 	end(): void {
 		this.ended = true;
-		for (const held of this.held.splice(0)) held.answer(null);
+		for (const held of this.held.values()) held.answer(null);
+		this.held.clear();
 	}
 
 	// --- rebuilding ---
@@ -119,16 +159,22 @@
 	private rebuild(): void {
 		const { tables, replica, ports } = this;
 		const now = ports.time.now();
+		for (const [key, { value, revision }] of replica.progress) this.progress.load(key, value, revision);
 		for (const [id, record] of replica.jobs)
 			this.loadJob(id, record.value.spec, record.value.at, record.revision);
-		for (const [id, record] of replica.machines) {
-			const type = tables.types.get(record.value.type) ?? unknownType(record.value.type);
-			const machine = this.newMachine(id, type, record.value.zone, record.value.spot, now);
-			machine.endpoint = record.value.endpoint;
-			machine.hidden = true;
-			machine.durable = true;
-			this.probe(machine, record.value.session, 3);
+		for (const [key, { value, revision }] of replica.machines) {
+			this.ledger.load(key, value, revision);
+			for (const [id, record] of Object.entries(value.entries)) {
+				if (tables.machines.has(id)) continue;
+				const type = tables.types.get(record.type) ?? unknownType(record.type);
+				const machine = this.newMachine(id, type, record.zone, record.spot, now);
+				machine.endpoint = record.endpoint;
+				machine.durable = true;
+				tables.hide(machine);
+				this.probes.push({ machine, session: record.session, tries: 3 });
+			}
 		}
+		this.sendProbes();
 		ports.log.info(
 			{ epoch: this.epoch, jobs: tables.jobs.size, machines: tables.machines.size },
 			"leading: rebuilding",
@@ -143,9 +189,9 @@
 
 	private loadJob(id: string, spec: Job["spec"], at: number, revision: number): void {
 		const job = this.tables.addJob(id, spec, at, revision);
-		for (const [page, record] of this.replica.sets.get(id) ?? []) {
-			job.done.addPage(page, this.perPage, record.value.bits);
-			job.durable.addPage(page, this.perPage, record.value.bits);
+		for (const [page, bits] of this.replica.pagesOf(id)) {
+			job.done.addPage(page, bits);
+			job.durable.addPage(page, bits);
 		}
 		job.knownAt = this.ports.time.now();
 		job.fillWaiting();
@@ -164,24 +210,35 @@
 	}
 
 	/**
-	 * Asks a machine straight for its tasks. An empty list of orders carries the
+	 * Asks machines straight for their tasks. An empty list of orders carries the
 	 * token there, so that every answer of an earlier leader is dead from then on.
 	 */
+	private sendProbes(): void {
+		let left = probesPerTick;
+		while (left > 0) {
+			const next = this.probes.shift();
+			if (!next) return;
+			if (!this.tables.hidden.has(next.machine) || next.machine.endpoint === "") continue;
+			left -= 1;
+			this.probe(next.machine, next.session, next.tries);
+		}
+	}
+
 	private probe(machine: Machine, session: number, tries: number): void {
-		if (!machine.hidden || machine.endpoint === "" || tries === 0 || !this.active) return;
+		if (!this.active) return;
 		this.ports.workers.command(machine.endpoint, this.epoch, session, []).then(
 			({ executed, report }) =>
 				this.ports.post(() => {
-					if (!machine.hidden || this.ended) return;
+					if (!this.tables.hidden.has(machine) || this.ended) return;
 					if (executed && report.machine === machine.id) this.apply(report);
-					else if (report.token <= this.epoch) this.probe(machine, report.session, tries - 1);
+					else if (report.token <= this.epoch && tries > 1) {
+						this.probes.unshift({ machine, session: report.session, tries: tries - 1 });
+					}
 				}),
 			() =>
-				this.ports.time.after(500, () =>
-					this.ports.post(() => {
-						if (!this.ended) this.probe(machine, session, tries - 1);
-					}),
-				),
+				this.ports.post(() => {
+					if (tries > 1 && !this.ended) this.probes.push({ machine, session, tries: tries - 1 });
+				}),
 		);
 	}
 
@@ -198,6 +255,9 @@
 		const machine = this.tables.machines.get(report.machine) as Machine;
 		machine.answeredAt = now;
 		if (!machine.durable) this.record(machine);
+		// Whoever still waits for the answer to an earlier report of it gets no order: it is out of date.
+		this.held.get(machine.id)?.answer([]);
+		this.held.delete(machine.id);
 		const waiting = this.anyWaiting(now);
 		const idle = machine.attempts.size === 0 && !waiting;
 		if (!machine.open || machine.freeCpus <= 0 || !(waiting || idle))
@@ -205,28 +265,38 @@
 		// Freed places are filled in the same answer: the next one is a report interval away.
 		// A machine without tasks has nothing to report meanwhile and is answered when work comes.
 		const holdMs = idle ? Math.min(idleHoldMs, this.platform.cluster.workers.report_s * 600) : answerHoldMs;
+		if (waiting) this.tables.changed = true;
 		return new Promise((resolve) => {
-			this.held.push({ machine: machine.id, until: now + holdMs, idle, answer: resolve });
-			if (waiting) this.tables.changed = true;
-			this.ports.time.after(holdMs, () => this.ports.post(() => this.releaseHeld(() => false)));
+			this.held.set(machine.id, { until: now + holdMs, idle, answer: resolve });
+			this.sweepHeldLater();
 		});
 	}
 
 	private answer(machine: Machine): Order[] | null {
 		if (!this.active) return null;
 		machine.answeredAt = this.ports.time.now();
+		this.assigned.delete(machine);
 		return ordersFor(this.tables, machine);
 	}
 
-	private releaseHeld(ready: (held: HeldReport) => boolean): void {
-		const now = this.ports.time.now();
-		const due = this.held.filter((h) => h.until <= now || ready(h));
-		if (due.length === 0) return;
-		this.held = this.held.filter((h) => !due.includes(h));
-		for (const held of due) {
-			const machine = this.tables.machines.get(held.machine);
-			held.answer(machine ? this.answer(machine) : null);
-		}
+	/** One timer for all that are held: there can be hundreds. */
+	private sweepHeldLater(): void {
+		if (this.sweeping || this.held.size === 0) return;
+		this.sweeping = true;
+		this.ports.time.after(holdSweepMs, () =>
+			this.ports.post(() => {
+				this.sweeping = false;
+				const now = this.ports.time.now();
+				for (const [id, held] of this.held) if (held.until <= now) this.release(id, held);
+				this.sweepHeldLater();
+			}),
+		);
+	}
+
+	private release(id: string, held: HeldReport): void {
+		this.held.delete(id);
+		const machine = this.tables.machines.get(id);
+		held.answer(machine ? this.answer(machine) : null);
 	}
 
 	private apply(report: WorkerReport): "applied" | "expired" | "ignored" {
@@ -317,30 +387,30 @@
 
 	/** A machine's record is written before the first start is sent to it. */
 	private record(machine: Machine): void {
-		if (machine.writing || machine.durable) return;
-		machine.writing = true;
-		const value: MachineRecord = {
+		if (this.ledger.has(machine.id)) return;
+		this.ledger.set(machine.id, {
 			endpoint: machine.endpoint,
 			type: machine.type.name,
 			zone: machine.zone,
 			spot: machine.spot,
 			session: machine.session,
-		};
-		const change: StoreChange = { put: keys.machine(machine.id), value };
-		this.ports.store.transact([this.leaderCondition()], [change], "normal").then(
-			(result) =>
-				this.ports.post(() => {
-					machine.writing = false;
-					if (!result.ok) return this.lostKey();
-					machine.durable = true;
-					this.tables.changed = true;
-				}),
-			(error) =>
-				this.ports.post(() => {
-					machine.writing = false;
-					this.ports.log.debug({ machine: machine.id, err: String(error) }, "machine record not written");
-				}),
-		);
+		});
+		this.ledger.flush();
+	}
+
+	private machinesDurable(ids: Iterable<string>): void {
+		for (const id of ids) {
+			const machine = this.tables.machines.get(id);
+			if (machine) machine.durable = true;
+		}
+		this.tables.changed = true;
+	}
+
+	private pagesDurable(entries: Map<string, string>): void {
+		for (const [name, bits] of entries) {
+			const { job, page } = pageOf(name);
+			this.tables.jobs.get(job)?.durable.addPage(page, bits);
+		}
 	}
 
 	private lostKey(): void {
@@ -350,19 +420,9 @@
 	private machineGone(machine: Machine): void {
 		const held = this.tables.removeMachine(machine);
 		this.ports.log.info({ machine: machine.id, held }, "machine gone");
-		if (!machine.durable && !machine.writing) return;
-		this.dropRecord(machine.id, 5);
-	}
-
-	/** A record left behind only makes a later leader wait for a machine that is gone. */
-	private dropRecord(id: string, tries: number): void {
-		if (this.ended || tries === 0) return;
-		this.ports.store.transact([this.leaderCondition()], [{ delete: keys.machine(id) }], "normal").then(
-			(result) => {
-				if (!result.ok) this.ports.post(() => this.lostKey());
-			},
-			() => this.ports.time.after(1000, () => this.ports.post(() => this.dropRecord(id, tries - 1))),
-		);
+		this.assigned.delete(machine);
+		// A record left behind only makes a later leader wait for a machine that is gone.
+		this.ledger.delete(machine.id);
 	}
 
 	private finishIfDone(job: Job): void {
@@ -374,13 +434,7 @@
 	private writeFinal(job: Job): void {
 		if (this.ended || job.cancelled) return;
 		const value: FinalRecord = { status: "done", tasks: job.spec.tasks, done: job.spec.tasks };
-		const changes: StoreChange[] = [
-			{ delete: keys.job(job.id) },
-			{ put: keys.final(job.id), value },
-			...[...(this.replica.sets.get(job.id)?.keys() ?? [])].map((page) => ({
-				delete: keys.set(job.id, page),
-			})),
-		];
+		const changes: StoreChange[] = [{ delete: keys.job(job.id) }, { put: keys.final(job.id), value }];
 		const conditions = [this.leaderCondition(), { key: keys.job(job.id), revision: job.revision }];
 		this.ports.store.transact(conditions, changes, "first").then(
 			(result) =>
@@ -402,56 +456,13 @@
 		);
 	}
 
-	private writeProgress(now: number): void {
-		if (this.writing || now < this.nextWrite) return;
-		const due = [...this.tables.jobs.values()]
-			.filter((job) => job.dirty && !job.ending && now - job.writtenAt >= progressEveryMs)
-			.sort((a, b) => a.writtenAt - b.writtenAt);
-		if (due.length === 0) return;
-		const changes: StoreChange[] = [];
-		const conditions = [this.leaderCondition()];
-		const written: { job: Job; indices: number[] }[] = [];
-		const most = Math.min(this.platform.cluster.state.txn_ops, 4);
-		for (const job of due) {
-			const fresh: number[] = [];
-			const pages = new Set<number>();
-			for (let i = 0; i < job.spec.tasks; i++) {
-				if (job.done.has(i) && !job.durable.has(i)) {
-					fresh.push(i);
-					pages.add(Math.floor(i / this.perPage));
-				}
-			}
-			if (changes.length > 0 && changes.length + pages.size > most) break;
-			for (const page of pages) {
-				changes.push({ put: keys.set(job.id, page), value: { bits: job.done.page(page, this.perPage) } });
-			}
-			conditions.push({ key: keys.job(job.id), revision: job.revision });
-			written.push({ job, indices: fresh });
-			job.dirty = false;
-			job.writtenAt = now;
+	private writeProgress(): void {
+		for (const job of this.tables.jobs.values()) {
+			if (job.dirtyPages.size === 0 || job.ending) continue;
+			for (const page of job.dirtyPages) this.progress.set(pageName(job.id, page), job.done.page(page));
+			job.dirtyPages.clear();
 		}
-		this.writing = true;
-		const again = () => {
-			this.writing = false;
-			for (const { job } of written) job.dirty = true;
-		};
-		this.ports.store.transact(conditions, changes, "background").then(
-			(result) =>
-				this.ports.post(() => {
-					if (!result.ok) {
-						again();
-						if (result.failed.includes(keys.leader)) this.lostKey();
-						return;
-					}
-					this.writing = false;
-					for (const { job, indices } of written) for (const i of indices) job.durable.add(i);
-				}),
-			() =>
-				this.ports.post(() => {
-					again();
-					this.nextWrite = this.ports.time.now() + 500;
-				}),
-		);
+		this.progress.flush();
 	}
 
 	/** A job appeared in the local copy, or left it. */
@@ -466,6 +477,7 @@
 	private jobEnded(id: string): void {
 		const job = this.tables.jobs.get(id);
 		if (!job) return;
+		for (let page = 0; page * tasksPerPage < job.spec.tasks; page++) this.progress.delete(pageName(id, page));
 		const still = this.tables.endJob(job);
 		if (still.length > 0) this.ports.log.info({ job: id, running: still.length }, "job over: stopping tasks");
 		this.stopNow(still);
@@ -489,9 +501,16 @@
 	tick(): void {
 		if (!this.active) return;
 		const now = this.ports.time.now();
+		this.lateMs += 0.2 * (now - this.lastTick - tickMs - this.lateMs);
+		this.lastTick = now;
+		this.sendProbes();
 		this.sweep(now);
 		this.fleet.tick();
-		this.writeProgress(now);
+		this.ledger.flush();
+		if (now >= this.nextProgress) {
+			this.nextProgress = now + progressEveryMs;
+			this.writeProgress();
+		}
 		this.pings(now);
 		if (this.anyWaiting(now)) this.tables.changed = true;
 		this.preempt(now);
@@ -507,8 +526,8 @@
 	private giveUpHidden(now: number): void {
 		if (now - this.beganAt < hiddenPatienceMs || this.hiddenReturned) return;
 		this.hiddenReturned = true;
-		const hidden = [...this.tables.machines.values()].filter((m) => m.hidden);
-		if (hidden.length === 0 || hidden.length > Math.max(2, this.tables.machines.size / 5)) return;
+		const { hidden, machines } = this.tables;
+		if (hidden.size > Math.max(2, machines.size / 5)) return;
 		for (const machine of hidden) {
 			machine.returning = true;
 			this.ports.log.info({ machine: machine.id }, "not heard since the takeover: returning");
@@ -519,7 +538,7 @@
 		this.giveUpHidden(now);
 		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
 		for (const machine of this.tables.machines.values()) {
-			if (machine.lost || !(machine.up || machine.hidden)) continue;
+			if (machine.lost || !(machine.up || this.tables.hidden.has(machine))) continue;
 			if (now - machine.answeredAt <= certainMs) continue;
 			const n = this.tables.expire(machine);
 			this.ports.log.info({ machine: machine.id, tasks: n }, "machine silent: its lease has expired");
@@ -535,7 +554,6 @@
 		}
 		for (const other of this.platform.others) {
 			this.send(other.node, { kind: "running", epoch: this.epoch, counts });
-			this.send(other.node, { kind: "ping", epoch: this.epoch });
 		}
 	}
 
@@ -574,11 +592,18 @@
 
 	// --- placing ---
 
+	/** Looked up once a batch, however many reports it holds. */
 	private anyWaiting(now: number): boolean {
-		for (const job of this.tables.jobs.values()) {
-			if (job.waiting.length > 0 && job.notBefore <= now) return true;
+		if (this.waitingNow === null) {
+			this.waitingNow = false;
+			for (const job of this.tables.jobs.values()) {
+				if (job.waiting.length > 0 && job.notBefore <= now) {
+					this.waitingNow = true;
+					break;
+				}
+			}
 		}
-		return false;
+		return this.waitingNow;
 	}
 
 	/** After each batch of commands. */
@@ -590,35 +615,37 @@
 			this.nextCycle = now + this.settings.placing.cycle_s * 1000;
 			if (this.tables.rebuilt) this.place(now);
 		}
-		if (this.held.length > 0 && this.outstanding.size === 0) {
-			const settled = !this.tables.changed;
-			this.releaseHeld((h) => (settled && !h.idle) || this.hasAssigned(h.machine));
+		if (this.outstanding.size === 0) {
+			if (this.assigned.size > 0) this.sendAssigned(now);
+			// Nothing more will be placed for now: whoever was held for that is answered.
+			if (!this.tables.changed) {
+				for (const [id, held] of this.held) if (!held.idle) this.release(id, held);
+			}
 		}
-		this.nudge(now);
-	}
-
-	private hasAssigned(id: string): boolean {
-		for (const a of this.tables.machines.get(id)?.attempts.values() ?? [])
-			if (a.phase === "assigned") return true;
-		return false;
+		this.waitingNow = null;
 	}
 
 	/**
-	 * A start waits for the machine's next report, which a change of its tasks brings
-	 * on. So one exited task is left with each machine, and is forgotten by direct
-	 * order when there is something to start.
+	 * Starts go to machines whose report waits for its answer. The others get theirs with
+	 * the next report, which a change of its tasks brings on: so one exited task is left
+	 * with each machine, to be forgotten by direct order when there is something to start.
+	 * A connection a start is too much when the processor is short.
 	 */
-	private nudge(now: number): void {
+	private sendAssigned(now: number): void {
 		const reportMs = this.platform.cluster.workers.report_s * 1000;
-		for (const machine of this.tables.machines.values()) {
-			const handle = machine.handle;
-			if (handle === null || now - machine.reportedAt > reportMs * 0.6 || !this.hasAssigned(machine.id))
+		for (const machine of this.assigned) {
+			const held = this.held.get(machine.id);
+			if (held) {
+				this.release(machine.id, held);
 				continue;
-			if (this.held.some((h) => h.machine === machine.id)) continue;
+			}
+			const handle = machine.handle;
+			if (handle === null || this.lateMs > busyMs || now - machine.reportedAt > reportMs * 0.6) continue;
 			machine.handle = null;
 			const order: Order = { op: "forget", job: handle.job, index: handle.index, attempt: handle.attempt };
 			this.ports.workers.command(machine.endpoint, this.epoch, machine.session, [order]).catch(() => {});
 		}
+		this.assigned.clear();
 	}
 
 	private livePlacers(now: number): string[] {
@@ -682,7 +709,7 @@
 			const job = this.tables.jobs.get(p.job);
 			const machine = this.tables.machines.get(p.machine);
 			if (!job || !machine || !Number.isInteger(p.count)) continue;
-			for (let i = 0; i < p.count; i++) if (!this.tables.decide(job, machine)) break;
+			for (let i = 0; i < p.count && this.tables.decide(job, machine); i++) this.assigned.add(machine);
 		}
 	}
 
--- a/src/coordination/local-copy.ts
+++ b/src/coordination/local-copy.ts
@@ -3,6 +3,7 @@
 import { CallFailed, type Log, type StorePort, type TimePort } from "./ports.js";
 
 const watchMs = 2500;
+const watchPauseMs = 100;
 const gatherMs = 15;
 
 interface Waiter {
@@ -52,7 +53,9 @@
 				this.post(() => {
 					this.heardAt = this.time.now();
 					if (answer) this.take(from, answer);
-					this.watchOn();
+					// Each answer costs a request and a turn: changes of a moment come together.
+					if (answer && answer.events.length > 0) this.time.after(watchPauseMs, () => this.watchOn());
+					else this.watchOn();
 				}),
 			(error) =>
 				this.post(() => {
@@ -78,7 +81,7 @@
 	private async load(): Promise<void> {
 		const parts = [];
 		// One after the other, machines last: a burst of calls would use up a starting node's share.
-		for (const prefix of [keys.one, keys.jobs, keys.sets, keys.machines])
+		for (const prefix of [keys.one, keys.jobs, keys.progress, keys.machines])
 			parts.push(await this.store.rows(prefix));
 		const rows = parts.flatMap((p) => p.rows);
 		const epoch = Math.min(...parts.map((p) => p.epoch));
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -46,7 +46,7 @@
 	machine.takenAt = report.noticeS === null ? null : now + report.noticeS * 1000;
 	if (report.token === tables.epoch && !machine.confirmed) {
 		machine.confirmed = true;
-		machine.hidden = false;
+		tables.heard(machine);
 		tables.changed = true;
 	}
 
--- a/src/coordination/tables.ts
+++ b/src/coordination/tables.ts
@@ -2,6 +2,7 @@
 import { Job } from "../bookkeeping/jobs.js";
 import { type Machine, machineAllowed } from "../bookkeeping/machines.js";
 import { Quotas, type TeamLimits } from "../bookkeeping/quotas.js";
+import { tasksPerPage } from "../bookkeeping/task-set.js";
 import type { JobSpec, MachineType } from "../protocol/model.js";
 import { zoneRoom } from "./placing.js";
 
@@ -21,8 +22,10 @@
 	readonly machines = new Map<string, Machine>();
 	readonly quotas: Quotas;
 	private counter = 0;
-	/** Runs of finished tasks by machine type, to find machines that are much too slow. */
+	/** Something has happened that may let a task start. */
 	changed = false;
+	/** Machines that may hold tasks of an earlier leader and have not been heard. */
+	private readonly unheard = new Set<Machine>();
 
 	constructor(
 		readonly epoch: number,
@@ -38,8 +41,22 @@
 
 	/** Every machine that may hold tasks of an earlier leader has been heard or waited out. */
 	get rebuilt(): boolean {
-		for (const machine of this.machines.values()) if (machine.hidden) return false;
-		return true;
+		return this.unheard.size === 0;
+	}
+
+	/** Asked for every decision of a start, so it is kept and not searched for. */
+	get hidden(): ReadonlySet<Machine> {
+		return this.unheard;
+	}
+
+	/** The machine may hold tasks that nobody has listed yet. */
+	hide(machine: Machine): void {
+		this.unheard.add(machine);
+	}
+
+	/** All its tasks are listed, or proved gone. */
+	heard(machine: Machine): void {
+		this.unheard.delete(machine);
 	}
 
 	addJob(id: string, spec: JobSpec, at: number, revision: number): Job {
@@ -145,7 +162,7 @@
 
 	markDone(job: Job, index: number): void {
 		if (job.done.add(index)) {
-			job.dirty = true;
+			job.dirtyPages.add(Math.floor(index / tasksPerPage));
 			this.changed = true;
 		}
 	}
@@ -171,7 +188,7 @@
 	clearMachine(machine: Machine): number {
 		const all = [...machine.attempts.values()];
 		for (const attempt of all) this.over(attempt);
-		machine.hidden = false;
+		this.heard(machine);
 		machine.exited = [];
 		machine.unwanted = [];
 		return all.length;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -6,7 +6,7 @@
 	| { kind: "view"; epoch: number; cycle: number; start: number; machines: ViewMachine[]; grants: Grant[] }
 	/** Placer to leader. */
 	| { kind: "placed"; epoch: number; cycle: number; placements: Placement[] }
-	/** Leader to all, now and then: tasks running by job, for display. */
+	/** Leader to all, now and then: tasks running by job, for display; answered by a sign of life. */
 	| { kind: "running"; epoch: number; counts: [string, number][] }
 	/** Leader to all, while the store refuses it: are you refused too, and will you not campaign for a while? */
 	| { kind: "ask"; epoch: number; number: number }
@@ -14,7 +14,6 @@
 	/** A node that has just started, to all: does anyone lead? */
 	| { kind: "who"; epoch: number }
 	| { kind: "leading"; epoch: number; leading: boolean }
-	| { kind: "ping"; epoch: number }
 	| { kind: "pong"; epoch: number };
 
 export function asPeerMessage(raw: unknown): PeerMessage | null {
--- a/src/transport/store-client.ts
+++ b/src/transport/store-client.ts
@@ -26,12 +26,14 @@
 
 const callMs = 1500;
 const watchSlackMs = 3000;
+const leaderShare = 0.6;
 
 /** The state service. Rates are a node's share of limits that all nodes draw on. */
 export class StoreClient implements StorePort {
 	private readonly requests: TokenBucket;
 	private readonly writes: TokenBucket;
 	private readonly writeReserve: number;
+	private retries = 0;
 
 	constructor(
 		private readonly http: HttpCaller,
@@ -45,8 +47,10 @@
 		// what is over the common limit comes back as 429 and is tried again by the caller.
 		const share = nodes > 1 ? 1.4 / nodes : 0.9;
 		this.requests = new TokenBucket(rps * share, rps * share, now);
-		this.writes = new TokenBucket(writeRps * share, writeRps * share, now);
-		this.writeReserve = writeRps * share * 0.5;
+		// Users' writes may come at any node, all at once, and draw on the whole limit; what a
+		// leader writes beside them keeps to a part of it and waits while they use it up.
+		this.writes = new TokenBucket(writeRps * leaderShare, writeRps * leaderShare, now);
+		this.writeReserve = writeRps * leaderShare * 0.5;
 	}
 
 	private async admit(bucket: TokenBucket, n: number, reserve: number, waitMs: number): Promise<void> {
@@ -88,15 +92,20 @@
 		changes: StoreChange[],
 		rateClass: RateClass,
 	): Promise<TransactionResult> {
-		const reserve = rateClass === "first" ? 0 : rateClass === "normal" ? 1 : this.writeReserve;
-		await this.admit(this.writes, Math.max(changes.length, 0), reserve, rateClass === "first" ? 1000 : 200);
+		if (rateClass === "first") this.writes.debit(changes.length);
+		else {
+			const reserve = rateClass === "normal" ? 1 : this.writeReserve;
+			await this.admit(this.writes, changes.length, reserve, 200);
+		}
 		await this.admit(this.requests, 1, 0, 300);
-		const answer = await this.http.call(
-			"POST",
-			paths.transaction,
-			transactionBody(conditions, changes),
-			callMs,
-		);
+		const sent = transactionBody(conditions, changes);
+		let answer = await this.http.call("POST", paths.transaction, sent, callMs);
+		// Refused for its rate a transaction was not executed. What users wait for is tried again
+		// a few times within a second, before they are told to come back.
+		for (let tries = 1; answer.status === 429 && rateClass === "first" && tries <= 4; tries++) {
+			await new Promise<void>((resolve) => this.time.after(100 * tries + (this.retries++ % 7) * 20, resolve));
+			answer = await this.http.call("POST", paths.transaction, sent, callMs);
+		}
 		const body = expectStatus(answer, "transaction", 200, 409);
 		return answer.status === 200
 			? { ok: true, epoch: epochFrom(body) }
--- a/src/transport/token-bucket.ts
+++ b/src/transport/token-bucket.ts
@@ -26,6 +26,12 @@
 		return true;
 	}
 
+	/** Takes n tokens whether they are there or not; others wait until the debt is paid. */
+	debit(n: number): void {
+		this.refill();
+		this.tokens = Math.max(-this.burst, this.tokens - n);
+	}
+
 	/** Milliseconds until n tokens beyond the reserve are there. */
 	waitMs(n = 1, reserve = 0): number {
 		this.refill();
