--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -15,7 +15,16 @@
 	up = false;
 	/** Its lease expired unanswered. */
 	lost = false;
-	/** Steady time: rented, last report, last answer that may have renewed its lease. */
+	/** Answers in a row that its reports show to have had no effect. */
+	lostAnswers = 0;
+	/** Steady time since which its reports arrive but no answer reaches it, and of the last sign of that. */
+	deafAt: number | null = null;
+	unheardAt = -Infinity;
+	/**
+	 * Steady time: since when this leader knows of it, rented, last report, last answer
+	 * that may have renewed its lease.
+	 */
+	readonly knownAt: number;
 	rentedAt: number;
 	reportedAt = -Infinity;
 	answeredAt: number;
@@ -55,6 +64,7 @@
 		readonly spot: boolean,
 		now: number,
 	) {
+		this.knownAt = now;
 		this.rentedAt = now;
 		this.answeredAt = now;
 	}
@@ -69,13 +79,21 @@
 			!this.marked &&
 			!this.faulty &&
 			!this.returning &&
+			this.deafAt === null &&
 			this.takenAt === null
 		);
 	}
 
 	/** Counts as capacity that is there or on its way. */
 	get counts(): boolean {
-		return !this.lost && !this.marked && !this.faulty && !this.returning && this.takenAt === null;
+		return (
+			!this.lost &&
+			!this.marked &&
+			!this.faulty &&
+			!this.returning &&
+			this.deafAt === null &&
+			this.takenAt === null
+		);
 	}
 
 	get hourlyPrice(): number {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -30,6 +30,8 @@
 	| { kind: "elsewhere"; node: string | null };
 
 const typesEveryMs = 60_000;
+/** Others unheard for this long are taken to be out of reach. */
+const apartMs = 3000;
 
 /** One controller: the owner of its process's state. */
 export class Controller {
@@ -45,6 +47,9 @@
 	private fetchingTypes = false;
 	private prices: MachineType[] | null = null;
 	private running = new Map<string, number>();
+	/** Steady time of the last word of any other controller, and of the last that the store answers it. */
+	private peerHeardAt = -Infinity;
+	private othersServedAt = -Infinity;
 
 	constructor(
 		private readonly platform: PlatformSettings,
@@ -109,8 +114,16 @@
 		this.mailbox.post(() => this.leadership.resign("stopping"));
 	}
 
+	/**
+	 * A node that hears nothing of the store can only say 503. If others are served, users
+	 * are better off there; if nobody is, a node that is taken out comes back late.
+	 */
 	ready(): boolean {
-		return this.replica.loaded && this.replica.types !== null;
+		if (!this.replica.loaded || this.replica.types === null) return false;
+		if (!this.copy.silent) return true;
+		const now = this.ports.time.now();
+		const alone = this.platform.others.length > 0 && now - this.peerHeardAt > apartMs;
+		return !alone && now - this.othersServedAt > apartMs;
 	}
 
 	private scheduleTick(): void {
@@ -159,6 +172,7 @@
 						types,
 						{ ...this.ports, post: (command) => this.mailbox.post(command) },
 						() => this.leadership.authority() === epoch,
+						() => !this.copy.silent,
 						(why) => this.leadership.resign(why),
 						`${this.platform.node}-${this.incarnation}-${epoch}`,
 					);
@@ -234,6 +248,7 @@
 		const message = asPeerMessage(raw);
 		if (!message) return;
 		this.mailbox.post(() => {
+			this.peerHeardAt = this.ports.time.now();
 			switch (message.kind) {
 				case "view": {
 					const placements = placeFirstFit(
@@ -251,6 +266,9 @@
 					break;
 				}
 				case "running":
+					// A late copy from an earlier leader tells nothing of now.
+					if (message.epoch < (this.replica.leader?.revision ?? 0)) break;
+					if (message.served) this.othersServedAt = this.peerHeardAt;
 					this.running = new Map(message.counts);
 					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch });
 					break;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -38,6 +38,8 @@
 /** An offer this many times as dear as the cheapest of its kind is not taken at once. */
 const dearFrom = 2;
 const rentalTriesMs = 60_000;
+/** A machine without tasks that answers do not reach goes back after this long. */
+const deafPatienceMs = 5000;
 
 /** Rents and returns machines: the hill climb and its exceptions. */
 export class Fleet {
@@ -63,7 +65,7 @@
 		private readonly time: TimePort,
 		private readonly settings: OperatorSettings,
 		private readonly listLagMs: number,
-		leaseMs: number,
+		private readonly leaseMs: number,
 		private readonly requestPrefix: string,
 		private readonly hooks: FleetHooks,
 		private readonly log: Log,
@@ -406,6 +408,10 @@
 		if (machine.lost && now - machine.answeredAt > this.silentMs) return "silent";
 		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
 		if (!machine.up && !hidden && now - machine.rentedAt > bootMs) return "never came up";
+		// Its tasks go on until its lease has run out, unless answers reach it again before.
+		if (machine.deafAt !== null && now - machine.deafAt > (held ? this.leaseMs : deafPatienceMs)) {
+			return "answers do not reach it";
+		}
 		if (held) return null;
 		if (machine.faulty) return "faulty";
 		if (machine.marked) return "drained";
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -57,6 +57,7 @@
 			const held = await this.enqueue(() => this.stateNow(spec.id));
 			// A known id is answered before any check: settings may have changed since.
 			if (held) return await this.known(spec.id);
+			this.copy.expectAnswer();
 			const types = this.replica.types?.value;
 			if (!this.replica.loaded || !types) {
 				return { kind: "later", reason: "the machine types are not known yet" };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -11,7 +11,7 @@
 import type { StoreChange, StoreCondition } from "../protocol/wire.js";
 import { Fleet } from "./fleet.js";
 import { drift } from "./leadership.js";
-import { servingOrder } from "./ordering.js";
+import { servingOrder, starved } from "./ordering.js";
 import { placerOf } from "./parting.js";
 import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
@@ -46,6 +46,7 @@
 const expiryMarginMs = 500;
 const progressEveryMs = 1000;
 const ledgerEveryMs = 150;
+const auditEveryMs = 10_000;
 const answerHoldMs = 150;
 const holdSweepMs = 30;
 /** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
@@ -85,7 +86,9 @@
 	private hiddenReturned = false;
 	private nextPreemption = 0;
 	private nextProgress = 0;
+	private nextAudit = 0;
 	private readonly leaseMs: number;
+	private readonly certainMs: number;
 	private readonly ledger: SharedRecords<MachineRecord>;
 	private readonly progress: SharedRecords<string>;
 
@@ -98,12 +101,14 @@
 		types: MachineType[],
 		private readonly ports: LeaderPorts,
 		private readonly authority: () => boolean,
+		private readonly served: () => boolean,
 		private readonly resign: (why: string) => void,
 		requestPrefix: string,
 	) {
 		const { cluster } = platform;
 		this.leaseMs = cluster.workers.lease_s * 1000;
-		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])));
+		this.certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
+		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])), this.certainMs);
 		this.fleet = new Fleet(
 			this.tables,
 			ports.cloud,
@@ -246,7 +251,8 @@
 
 	/** null: this process may not answer for the controllers. */
 	report(report: WorkerReport): Promise<Order[] | null> {
-		if (!this.active) return Promise.resolve(null);
+		// A worker that has seen a later token drops our answer, and would wait here while its lease runs out.
+		if (!this.active || report.token > this.epoch) return Promise.resolve(null);
 		if (this.fleet.isGone(report.machine)) return Promise.resolve(null);
 		const now = this.ports.time.now();
 		const applied = this.apply(report);
@@ -428,6 +434,7 @@
 	private finishIfDone(job: Job): void {
 		if (!job.done.full || job.ending || job.cancelled) return;
 		job.ending = true;
+		job.endingAt = this.ports.time.now();
 		this.writeFinal(job);
 	}
 
@@ -465,6 +472,21 @@
 		this.progress.flush();
 	}
 
+	/**
+	 * What is in the local copy and what this leader works on must be the same jobs. Should a
+	 * change ever be missed, or the end of a job get stuck, it is mended here.
+	 */
+	private audit(now: number): void {
+		if (now < this.nextAudit) return;
+		this.nextAudit = now + auditEveryMs;
+		const { jobs } = this.replica;
+		for (const id of jobs.keys()) if (!this.tables.jobs.has(id)) this.jobChanged(id);
+		for (const [id, job] of [...this.tables.jobs]) {
+			if (!jobs.has(id)) this.jobEnded(id);
+			else if (job.ending && now - job.endingAt > auditEveryMs) this.writeFinal(job);
+		}
+	}
+
 	/** A job appeared in the local copy, or left it. */
 	jobChanged(id: string): void {
 		if (this.ended) return;
@@ -512,6 +534,7 @@
 			this.writeProgress();
 		}
 		this.pings(now);
+		this.audit(now);
 		if (this.anyWaiting(now)) this.tables.changed = true;
 		this.preempt(now);
 		this.maybePlace();
@@ -536,13 +559,23 @@
 
 	private sweep(now: number): void {
 		this.giveUpHidden(now);
-		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
+		const { certainMs } = this;
+		const deaf: Machine[] = [];
 		for (const machine of this.tables.machines.values()) {
+			if (machine.deafAt !== null && !machine.returning) deaf.push(machine);
 			if (machine.lost || !(machine.up || this.tables.hidden.has(machine))) continue;
 			if (now - machine.answeredAt <= certainMs) continue;
 			const n = this.tables.expire(machine);
 			this.ports.log.info({ machine: machine.id, tasks: n }, "machine silent: its lease has expired");
 		}
+		// Where many seem not to hear, it is our answers that come too late.
+		if (deaf.length > Math.max(2, this.tables.machines.size / 5)) {
+			this.ports.log.info({ machines: deaf.length }, "answers reach few machines: taken as our own delay");
+			for (const machine of deaf) {
+				machine.deafAt = null;
+				machine.lostAnswers = 0;
+			}
+		}
 	}
 
 	private pings(now: number): void {
@@ -553,7 +586,7 @@
 			if (job.attempts.size > 0) counts.push([job.id, runningOf(job)]);
 		}
 		for (const other of this.platform.others) {
-			this.send(other.node, { kind: "running", epoch: this.epoch, counts });
+			this.send(other.node, { kind: "running", epoch: this.epoch, counts, served: this.served() });
 		}
 	}
 
@@ -579,7 +612,7 @@
 				now - job.knownAt > preemptAfterMs,
 		);
 		if (waiting.length === 0) return;
-		const order = servingOrder(waiting, (team) => this.tables.quotas.team(team));
+		const order = this.inOrder(waiting);
 		const victims = chooseVictims(this.tables, order, now);
 		if (victims.length === 0) return;
 		for (const victim of victims) {
@@ -724,26 +757,44 @@
 		if (Array.isArray(message.placements)) this.issue(message.placements);
 	}
 
+	private inOrder(jobs: Job[]): Job[] {
+		const { quotas, machines } = this.tables;
+		let cpus = 0;
+		for (const machine of machines.values()) if (machine.open) cpus += machine.type.cpus;
+		const teams = new Set(jobs.map((job) => job.spec.team)).size;
+		return servingOrder(
+			jobs,
+			(team) => quotas.team(team),
+			this.ports.time.date().getTime(),
+			cpus > 0 ? cpus / Math.max(1, teams) : Number.POSITIVE_INFINITY,
+		);
+	}
+
 	/** Who may start how much now: guarantees first, then borrowing; urgent before the rest. */
 	private grants(views: ViewMachine[], now: number): { grant: Grant; team: string }[] {
 		const { quotas } = this.tables;
 		let freeCpus = 0;
 		for (const v of views) freeCpus += v.cpus;
-		const jobs = servingOrder(
+		const jobs = this.inOrder(
 			[...this.tables.jobs.values()].filter(
 				(job) => job.waiting.length > 0 && job.notBefore <= now && !job.ending,
 			),
-			(team) => quotas.team(team),
 		);
 		const taken = new Map<string, { cpus: number; gpus: number }>();
 		const grants = new Map<Job, number>();
-		for (const guarantee of [true, false]) {
-			for (const job of jobs) {
+		const date = this.ports.time.date().getTime();
+		const passes = [
+			{ jobs: jobs.filter((job) => starved(job, date)), most: 1, guarantee: false },
+			{ jobs, most: Number.POSITIVE_INFINITY, guarantee: true },
+			{ jobs, most: Number.POSITIVE_INFINITY, guarantee: false },
+		];
+		for (const { jobs: served, most, guarantee } of passes) {
+			for (const job of served) {
 				if (freeCpus <= 0) break;
 				const { spec } = job;
 				const extra = taken.get(spec.team) ?? { cpus: 0, gpus: 0 };
 				const already = grants.get(job) ?? 0;
-				const waiting = job.doomed ? Math.min(1, job.waiting.length) : job.waiting.length;
+				const waiting = Math.min(job.waiting.length, job.doomed ? 1 : most);
 				let n = Math.min(waiting - already, quotas.room(spec.team, spec.cpus, spec.gpus, guarantee, extra));
 				n = Math.min(n, Math.ceil(freeCpus / spec.cpus));
 				if (n <= 0) continue;
--- a/src/coordination/leadership.ts
+++ b/src/coordination/leadership.ts
@@ -103,8 +103,16 @@
 	message(from: string, message: PeerMessage): void {
 		const now = this.time.now();
 		if (message.kind === "who") {
-			this.hooks.tell({ kind: "leading", epoch: this.held ?? 0, leading: this.held !== null });
+			this.hooks.tell({
+				kind: "leading",
+				epoch: this.held ?? 0,
+				leading: this.held !== null,
+				asker: message.asker,
+			});
 		} else if (message.kind === "leading" && this.startHold) {
+			// A copy of an answer to an earlier process of this node, which may have promised
+			// since to one that has begun to lead since.
+			if (message.asker !== this.incarnation) return;
 			if (message.leading) this.notLeading.delete(from);
 			else this.notLeading.add(from);
 			if (this.others.every((other) => this.notLeading.has(other))) this.releaseStartHold();
@@ -164,7 +172,7 @@
 		if (now < this.promisedUntil) {
 			if (this.startHold && now >= this.nextAsk) {
 				this.nextAsk = now + 200;
-				this.hooks.tell({ kind: "who", epoch: 0 });
+				this.hooks.tell({ kind: "who", epoch: 0, asker: this.incarnation });
 			}
 			return;
 		}
--- a/src/coordination/local-copy.ts
+++ b/src/coordination/local-copy.ts
@@ -4,6 +4,7 @@
 
 const watchMs = 2500;
 const watchPauseMs = 100;
+const silentMs = watchMs + 1500;
 const gatherMs = 15;
 
 interface Waiter {
@@ -25,6 +26,8 @@
 	private reloading: Promise<void> | null = null;
 	/** Steady time at which the store last answered. */
 	heardAt = -Infinity;
+	private failedAt = -Infinity;
+	private nextTry = -Infinity;
 
 	constructor(
 		private readonly replica: Replica,
@@ -59,6 +62,7 @@
 				}),
 			(error) =>
 				this.post(() => {
+					this.failedAt = this.time.now();
 					this.log.debug({ err: String(error) }, "watch failed");
 					if (error instanceof CallFailed && error.status === 410) this.replica.loaded = false;
 					this.time.after(200, () => this.watchOn());
@@ -93,9 +97,26 @@
 		);
 	}
 
+	/** Nothing has been heard of the store for longer than a watch lasts, and calls fail. */
+	get silent(): boolean {
+		return this.time.now() - this.heardAt > silentMs && this.failedAt > this.heardAt;
+	}
+
+	/**
+	 * Throws if a call to the store would only keep its user waiting. Now and then one
+	 * goes through, so that the end of the silence is noticed.
+	 */
+	expectAnswer(): void {
+		if (!this.silent) return;
+		const now = this.time.now();
+		if (now < this.nextTry) throw new CallFailed("refused", 0, "the state service is silent");
+		this.nextTry = now + 500;
+	}
+
 	/** Resolves once the copy holds all that was in the store when this was called. */
 	fence(): Promise<void> {
 		return new Promise((resolve, reject) => {
+			this.expectAnswer();
 			this.waiters.push({ resolve, reject });
 			if (this.fencing) return;
 			this.fencing = true;
@@ -125,6 +146,7 @@
 				}),
 			(error) =>
 				this.post(() => {
+					this.failedAt = this.time.now();
 					if (error instanceof CallFailed && error.status === 410) this.replica.loaded = false;
 					done((w) => w.reject(error));
 				}),
--- a/src/coordination/ordering.ts
+++ b/src/coordination/ordering.ts
@@ -4,12 +4,35 @@
 /** Best effort work counts as this many times as long as it is. */
 const bestEffortFactor = 1.2;
 
-/** Seconds that the job still needs if it had its team's whole limit. */
-export function remainingSeconds(job: Job, team: TeamLimits | undefined): number {
+/** Each such time of waiting makes a job count as shorter by its length once more. */
+const ageingS = 100;
+/** A job of which nothing has begun for this long goes before the others of its tier. */
+const overdueS = 90;
+/** And after this long one task of it goes before everything. */
+const starvedS = 150;
+
+/**
+ * Seconds that the job still needs if it had its team's whole limit, or an even part
+ * of the machines if that is less.
+ */
+export function remainingSeconds(job: Job, team: TeamLimits | undefined, evenCpus: number): number {
 	const { spec } = job;
 	const tasks = spec.tasks - job.done.count;
-	const atOnce = Math.max(1, Math.floor((team?.cpus_max ?? spec.cpus) / spec.cpus));
-	return Math.ceil(tasks / atOnce) * job.estimateS;
+	const cpus = Math.min(team?.cpus_max ?? spec.cpus, evenCpus);
+	return Math.max(1, (tasks * spec.cpus) / Math.max(cpus, spec.cpus)) * job.estimateS;
+}
+
+function ageS(job: Job, date: number): number {
+	return Math.max(0, date - job.at) / 1000;
+}
+
+function begun(job: Job): boolean {
+	return job.attempts.size > 0 || job.done.count > 0;
+}
+
+/** Nothing of it has begun for so long that it would be counted as starved. */
+export function starved(job: Job, date: number): boolean {
+	return !begun(job) && ageS(job, date) > starvedS;
 }
 
 function dueAt(job: Job): number {
@@ -22,17 +45,28 @@
  * remaining first: a team's limit is fixed, so this is what lets most jobs end
  * early. Best effort work yields to normal work of little more than its length, no more:
  * strictly behind, it would wait for the longest array of its team.
+ *
+ * Shortest first alone would starve the largest array as long as smaller ones come.
+ * So waiting counts: a job ages, and one of which nothing has begun for long is next.
+ *
+ * `date` is the time of day, since a job's age must outlast a change of leader.
  */
-export function servingOrder(jobs: Job[], teamOf: (name: string) => TeamLimits | undefined): Job[] {
+export function servingOrder(
+	jobs: Job[],
+	teamOf: (name: string) => TeamLimits | undefined,
+	date: number,
+	evenCpus = Number.POSITIVE_INFINITY,
+): Job[] {
 	return jobs
 		.map((job) => {
 			const urgent = job.rank < 2;
-			const seconds = remainingSeconds(job, teamOf(job.spec.team));
+			const age = ageS(job, date);
+			const seconds = remainingSeconds(job, teamOf(job.spec.team), evenCpus) / (1 + age / ageingS);
 			return {
 				job,
 				tier: urgent ? job.rank : 2,
 				due: urgent ? dueAt(job) : 0,
-				seconds: job.rank > 2 ? seconds * bestEffortFactor : seconds,
+				seconds: !begun(job) && age > overdueS ? 0 : job.rank > 2 ? seconds * bestEffortFactor : seconds,
 			};
 		})
 		.sort(
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -36,7 +36,19 @@
 	if (report.session < machine.session || (report.session === machine.session && report.seq <= machine.seq)) {
 		return { kind: "old" };
 	}
+	// One report is in flight at a time, so one that shows an earlier token was sent without
+	// the answers before it, and these can no longer arrive: they have renewed nothing. What
+	// its lease rests on is older than this term, however often we have answered.
+	if (!machine.confirmed && report.token < tables.epoch) {
+		machine.answeredAt = machine.knownAt;
+		if (now - machine.knownAt > tables.certainMs && report.session === machine.session) {
+			tables.expire(machine);
+			return { kind: "expired" };
+		}
+	}
 	const newSession = machine.session !== 0 && report.session > machine.session;
+	// Its lease ran out although it was answered all the time.
+	const ranOut = newSession && now - machine.answeredAt < tables.certainMs / 2;
 	machine.session = report.session;
 	machine.seq = report.seq;
 	machine.endpoint = report.endpoint;
@@ -52,12 +64,14 @@
 
 	const outcomes: Outcome[] = [];
 	const listed = new Set<string>();
+	let startSeen = false;
 	machine.exited = [];
 	machine.unwanted = [];
 	for (const task of report.tasks) {
 		const attempt = machine.attempts.get(taskKey(task.job, task.index));
 		if (attempt && attempt.number === task.attempt) {
 			listed.add(taskKey(task.job, task.index));
+			startSeen ||= attempt.phase === "sent";
 			if (task.state === "exited") {
 				const cause = task.cause ?? "error";
 				exited(tables, machine, task);
@@ -72,15 +86,27 @@
 		} else if (adoptOrRefuse(tables, machine, task, now)) listed.add(taskKey(task.job, task.index));
 	}
 
+	let startUnseen = false;
+	for (const [key, a] of machine.attempts) {
+		if (a.phase === "sent" && a.stop === null && !newSession && !listed.has(key)) startUnseen = true;
+	}
+	noteHearing(machine, { ranOut, startUnseen, startSeen }, tables.certainMs, now);
+
 	const vanished: Attempt[] = [];
 	for (const [key, attempt] of [...machine.attempts]) {
-		if (listed.has(key) || attempt.phase === "assigned") continue;
+		if (listed.has(key)) continue;
+		if (attempt.phase === "assigned") {
+			if (machine.deafAt !== null) tables.over(attempt);
+			continue;
+		}
 		// Tasks of a lease that expired were killed. Otherwise absence counts only
 		// once older answers are known to be dead, that is, from a confirmed machine.
 		if (!newSession && !machine.confirmed) continue;
 		if (attempt.phase === "sent" && !newSession && attempt.stop === null) {
-			// The answer with the start was lost; it is sent again with the same number.
-			attempt.phase = "assigned";
+			// The answer with the start was lost; it is sent again with the same number, or,
+			// where answers do not arrive at all, given up: it can no longer be carried out.
+			if (machine.deafAt === null) attempt.phase = "assigned";
+			else tables.over(attempt);
 			continue;
 		}
 		tables.over(attempt);
@@ -89,6 +115,33 @@
 	return { kind: "applied", machine, outcomes, vanished, isNew };
 }
 
+/** Answers in a row without effect after which nothing more is sent to a machine: one may get lost. */
+const deafAfter = 2;
+
+/**
+ * Reports may arrive while answers do not, and then no count of time since the last
+ * answer ends. It shows by starts that are never listed, and by a lease that runs out
+ * although it was renewed.
+ */
+function noteHearing(
+	machine: Machine,
+	seen: { ranOut: boolean; startUnseen: boolean; startSeen: boolean },
+	certainMs: number,
+	now: number,
+): void {
+	if (seen.ranOut) machine.lostAnswers = deafAfter;
+	else if (seen.startSeen) machine.lostAnswers = 0;
+	else if (seen.startUnseen) machine.lostAnswers += 1;
+	if (seen.ranOut || seen.startUnseen) {
+		machine.unheardAt = now;
+		if (machine.lostAnswers >= deafAfter) machine.deafAt ??= now;
+	} else if (machine.deafAt !== null && (seen.startSeen || now - machine.unheardAt > 1.5 * certainMs)) {
+		// It has kept its lease for longer than it could without our answers.
+		machine.deafAt = null;
+		machine.lostAnswers = 0;
+	}
+}
+
 function exited(tables: Tables, machine: Machine, task: ReportedTask): void {
 	machine.exited.push({
 		job: task.job,
@@ -119,15 +172,19 @@
 /** True if the task is this machine's from now on. */
 function adoptOrRefuse(tables: Tables, machine: Machine, task: ReportedTask, now: number): boolean {
 	const job = tables.jobs.get(task.job);
+	const other = job?.attempts.get(task.index);
 	const wanted =
 		job !== undefined &&
 		task.index < job.spec.tasks &&
 		!job.done.has(task.index) &&
-		!job.attempts.has(task.index);
+		// An attempt is decided only when the one before is proved over. A late copy of a
+		// report may have listed that one again after a change of leader.
+		(other === undefined || other.number < task.attempt);
 	if (!wanted) {
 		machine.unwanted.push({ job: task.job, index: task.index, attempt: task.attempt });
 		return false;
 	}
+	if (other) tables.over(other);
 	progress(tables.adopt(job, task.index, task.attempt, machine), task, now);
 	return true;
 }
--- a/src/coordination/tables.ts
+++ b/src/coordination/tables.ts
@@ -31,6 +31,8 @@
 		readonly epoch: number,
 		teams: TeamLimits[],
 		readonly types: Map<string, MachineType>,
+		/** A lease renewed this long ago, or earlier, has certainly run out. */
+		readonly certainMs = Number.POSITIVE_INFINITY,
 	) {
 		this.quotas = new Quotas(teams);
 	}
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -6,14 +6,18 @@
 	| { kind: "view"; epoch: number; cycle: number; start: number; machines: ViewMachine[]; grants: Grant[] }
 	/** Placer to leader. */
 	| { kind: "placed"; epoch: number; cycle: number; placements: Placement[] }
-	/** Leader to all, now and then: tasks running by job, for display; answered by a sign of life. */
-	| { kind: "running"; epoch: number; counts: [string, number][] }
+	/**
+	 * Leader to all, now and then: tasks running by job, for display; answered by a sign of life.
+	 * `served`: the store answers the leader.
+	 */
+	| { kind: "running"; epoch: number; counts: [string, number][]; served: boolean }
 	/** Leader to all, while the store refuses it: are you refused too, and will you not campaign for a while? */
 	| { kind: "ask"; epoch: number; number: number }
 	| { kind: "promise"; epoch: number; number: number }
 	/** A node that has just started, to all: does anyone lead? */
-	| { kind: "who"; epoch: number }
-	| { kind: "leading"; epoch: number; leading: boolean }
+	| { kind: "who"; epoch: number; asker: string }
+	/** Names the process that asked, so that late copies of answers to an earlier one are known. */
+	| { kind: "leading"; epoch: number; leading: boolean; asker: string }
 	| { kind: "pong"; epoch: number };
 
 export function asPeerMessage(raw: unknown): PeerMessage | null {
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -289,7 +289,7 @@
 	add("j-late", "urgent", 4, 90);
 	add("j-soon", "urgent", 4, 50);
 	add("j-crit", "critical", 4);
-	const order = servingOrder([...tables.jobs.values()], (t) => tables.quotas.team(t)).map((j) => j.id);
+	const order = servingOrder([...tables.jobs.values()], (t) => tables.quotas.team(t), 0).map((j) => j.id);
 	assert.deepEqual(order, ["j-crit", "j-soon", "j-late", "j-short", "j-effort", "j-long"]);
 });
 
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -147,10 +147,10 @@
 	assert.equal(waits.won.length, 1);
 
 	const told = candidate(["a", "b"]);
-	told.leadership.message("a", { kind: "leading", epoch: 0, leading: false });
+	told.leadership.message("a", { kind: "leading", epoch: 0, leading: false, asker: "inc" });
 	await told.run(300);
 	assert.deepEqual(told.won, [], "one of two has answered");
-	told.leadership.message("b", { kind: "leading", epoch: 0, leading: false });
+	told.leadership.message("b", { kind: "leading", epoch: 0, leading: false, asker: "inc" });
 	await told.run(300);
 	assert.equal(told.won.length, 1);
 });
--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -33,6 +33,8 @@
 	dead = false;
 	/** Cut off from all controllers. */
 	cut = false;
+	/** Its reports arrive, but neither answers nor orders reach it. */
+	deaf = false;
 	/** Fails every task at once. */
 	sick = false;
 	recallAt: number | null = null;
@@ -103,8 +105,16 @@
 		const node = this.world.nodes[this.node % this.world.nodes.length] as string;
 		const body = this.show();
 		const answer = this.cut ? await this.silence() : await this.world.send(this, node, body);
+		// Hearing nothing, it gives up after the time it waits for an answer.
+		const deaf = this.deaf;
+		if (deaf) await this.silence();
 		this.inFlight = false;
 		if (this.dead) return;
+		if (deaf) {
+			this.node += 1;
+			this.nextAt = this.time.now() + 1000;
+			return;
+		}
 		if (answer?.status === 200) {
 			if (shift === this.shift) this.obey(answer.body as Record<string, unknown>, sentAt);
 			return;
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -56,8 +56,8 @@
 const teams: Record<string, number> = { red: 8, blue: 8 };
 export const nodeNames = ["runner-0", "runner-1", "runner-2"];
 
-function settingsOf(node: string): PlatformSettings {
-	const others = nodeNames
+function settingsOf(node: string, nodes: string[]): PlatformSettings {
+	const others = nodes
 		.filter((n) => n !== node)
 		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
 	const teamText = Object.entries(teams).map(
@@ -72,7 +72,7 @@
 cloud = "127.0.0.1:3"
 state = "127.0.0.1:4"
 [cluster]
-nodes = 3
+nodes = ${nodes.length}
 zones = ["a", "b"]
 ${teamText.join("\n")}
 [cluster.workers]
@@ -91,7 +91,7 @@
 	return parsePlatform("test settings", text);
 }
 
-/** Three controllers between stand-ins of all that is around them, in fake time, with the rules watched. */
+/** Controllers, three if not said otherwise, between stand-ins of all that is around them, in fake time, with the rules watched. */
 export class World {
 	readonly time = new FakeTime();
 	readonly network = new FakeNetwork(this.time);
@@ -109,7 +109,13 @@
 	private readonly cutLinks = new Set<string>();
 	private incarnation = 0;
 
-	constructor(capacity = 4) {
+	/** Seconds after which copies of every report arrive once more, at the node it was sent to. */
+	copiesAfterS: number[] = [];
+
+	constructor(
+		capacity = 4,
+		readonly nodes: string[] = nodeNames,
+	) {
 		const type = (sku: string, cores: number, rate: number) => ({
 			sku,
 			cores,
@@ -133,13 +139,14 @@
 			},
 			gone: (id) => this.workers.get(id)?.die(),
 		});
-		for (const node of nodeNames) this.start(node);
+		this.workerWorld.nodes.push(...nodes);
+		for (const node of nodes) this.start(node);
 	}
 
 	private readonly workerWorld: WorkerWorld = {
 		reportS: 1,
 		leaseS: 10,
-		nodes: nodeNames,
+		nodes: [],
 		runSeconds: (piece) => this.jobs.get(piece.split("/")[0] as string)?.runs ?? null,
 		started: (worker, piece) => this.started(worker, piece),
 		ended: (worker, piece) => this.ended(worker, piece),
@@ -152,7 +159,7 @@
 		if (this.processes.has(node)) return;
 		this.incarnation += 1;
 		const id = `${node}#${this.incarnation}`;
-		const settings = settingsOf(node);
+		const settings = settingsOf(node, this.nodes);
 		const note =
 			(level: string) =>
 			(fields: object, message: string): void => {
@@ -162,7 +169,7 @@
 		const log: Log = { error: note("error"), info: note("info"), debug: note("debug") };
 		const store = this.network.caller(id, "state", (m, p, b) => this.state.handle(m, p, b, node));
 		const controller = new Controller(settings, defaultOperator(), `inc${this.incarnation}`, {
-			store: new StoreClient(store, this.time, 300, 60, 3),
+			store: new StoreClient(store, this.time, 300, 60, this.nodes.length),
 			cloud: new CloudClient(
 				this.network.caller(id, "cloud", (m, p, b) => this.cloud.handle(m, p, b)),
 				this.time,
@@ -172,7 +179,7 @@
 				const host = endpoint.split(":")[0] as string;
 				return this.network.caller(id, host, (_m, _p, body) => {
 					const worker = this.workers.get(host);
-					if (!worker || worker.dead || worker.cut) return new Promise<Answer>(() => {});
+					if (!worker || worker.dead || worker.cut || worker.deaf) return new Promise<Answer>(() => {});
 					return worker.commands(body as Record<string, unknown>);
 				});
 			}),
@@ -229,6 +236,12 @@
 
 	private async sendReport(worker: FakeWorker, node: string, body: Record<string, unknown>) {
 		const sent = JSON.stringify(body);
+		for (const seconds of this.copiesAfterS) {
+			this.time.after(seconds * 1000, () => {
+				const process = this.processes.get(node);
+				if (process) void process.controller.report(parseReport(sent));
+			});
+		}
 		return new Promise<Answer | undefined>((resolve) => {
 			this.time.after(4000, () => resolve(undefined));
 			const process = this.processes.get(node);
@@ -323,6 +336,20 @@
 
 	// --- users ---
 
+	/** Troubles over, every job that was accepted is answered for within 75 s, each for itself. */
+	async checkKnown(): Promise<void> {
+		for (const [id, job] of this.jobs) {
+			if (job.told.size === 0) continue;
+			const until = this.time.now() + 75_000;
+			let known = false;
+			while (!known && this.time.now() < until) {
+				for (const node of this.processes.keys()) known ||= (await this.poll(node, id)).status === 200;
+				if (!known) await this.time.advance(1000);
+			}
+			if (!known) this.broken.push(`forgotten: no answer about ${id}`);
+		}
+	}
+
 	private async request(
 		node: string,
 		path: string,
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -2,7 +2,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { test } from "node:test";
 import { parse } from "yaml";
-import { type JobBody, nodeNames, World } from "./support/world.js";
+import { type JobBody, World } from "./support/world.js";
 
 /** Kept traces: each file tells one story, is played in fake time and ends with what must hold. */
 interface Step {
@@ -18,6 +18,10 @@
 	join_peer?: string;
 	cut?: string;
 	heal?: string;
+	/** The task's machine hears nothing from now on. */
+	deaf?: string;
+	/** Every report arrives again after so many seconds. */
+	copies?: number[];
 	die?: string;
 	sick?: string;
 	taken?: { piece: string; in_s: number };
@@ -45,6 +49,7 @@
 	title: string;
 	guards: string;
 	capacity?: number;
+	controllers?: number;
 	steps: Step[];
 }
 
@@ -57,12 +62,16 @@
 }
 
 async function play(trace: Trace): Promise<void> {
-	const world = new World(trace.capacity);
+	const nodes = Array.from({ length: trace.controllers ?? 3 }, (_, i) => `runner-${i}`);
+	const world = new World(trace.capacity, nodes);
 	let checks = 0;
 	const named = (who: string): string[] => {
-		if (who === "all") return nodeNames;
+		if (who === "all") return nodes;
+		if (who === "refused") return [...world.state.refused];
+		if (who === "other") return nodes.filter((n) => !world.state.refused.has(n) && n !== world.leaderNode());
+		if (who === "two others") return nodes.filter((n) => n !== world.leaderNode()).slice(0, 2);
 		if (who === "leader") return [world.leaderNode() ?? "nobody"];
-		if (who === "others") return nodeNames.filter((n) => n !== world.leaderNode());
+		if (who === "others") return nodes.filter((n) => n !== world.leaderNode());
 		return [who];
 	};
 	for (const step of trace.steps) {
@@ -70,7 +79,7 @@
 		if (wait > 0) await world.time.advance(wait);
 		if (step.submit) {
 			const { node = "runner-0", ...job } = step.submit;
-			const answer = await world.submit(node, job);
+			const answer = await world.submit(named(node)[0] as string, job);
 			assert.equal(answer.status, 201, `${job.id}: ${JSON.stringify(answer.body)}`);
 		}
 		if (step.abort) assert.equal((await world.abort("runner-1", step.abort)).status, 200);
@@ -82,7 +91,9 @@
 		for (const n of step.cut_peer ? named(step.cut_peer) : []) world.cutPeer(n, true);
 		for (const n of step.join_peer ? named(step.join_peer) : []) world.cutPeer(n, false);
 		if (step.cut) world.workerOf(step.cut).cut = true;
-		if (step.heal === "all") for (const w of world.workers.values()) w.cut = false;
+		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = false;
+		if (step.deaf) world.workerOf(step.deaf).deaf = true;
+		if (step.copies) world.copiesAfterS = step.copies;
 		if (step.die) world.workerOf(step.die).die();
 		if (step.sick) world.workerOf(step.sick).sick = true;
 		if (step.taken) {
@@ -104,6 +115,7 @@
 			await check(world, step.expect, named);
 		}
 	}
+	await world.checkKnown();
 	world.checkCancelled();
 	assert.deepEqual(world.broken, [], world.logs.slice(-20).join("\n"));
 	assert.ok(checks > 0, "a trace must expect something");
