--- a/src/coordination/ordering.ts
+++ b/src/coordination/ordering.ts
@@ -5,7 +5,7 @@
 const bestEffortFactor = 1.2;
 
 /** Each such time of waiting makes a job count as shorter by its length once more. */
-const ageingS = 100;
+const ageingS = 40;
 /** A job of which nothing has begun for this long goes before the others of its tier. */
 const overdueS = 90;
 /** And after this long one task of it goes before everything. */
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -2,10 +2,11 @@
 import { test } from "node:test";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Job } from "../src/bookkeeping/jobs.js";
 import { Machine, muchTooSlow, noteRun } from "../src/bookkeeping/machines.js";
 import { Quotas } from "../src/bookkeeping/quotas.js";
 import { countInPage, TaskSet, tasksPerPage } from "../src/bookkeeping/task-set.js";
-import { servingOrder } from "../src/coordination/ordering.js";
+import { servingOrder, starved } from "../src/coordination/ordering.js";
 import { placerOf } from "../src/coordination/parting.js";
 import { type Grant, placeFirstFit, sampled, type ViewMachine } from "../src/coordination/placing.js";
 import { chooseVictims } from "../src/coordination/preemption.js";
@@ -293,6 +294,41 @@
 	assert.deepEqual(order, ["j-crit", "j-soon", "j-late", "j-short", "j-effort", "j-long"]);
 });
 
+test("whatever stream of small jobs comes, the largest begins within four minutes and ends", () => {
+	for (const seed of [1, 2, 3, 4]) {
+		const random = xoroshiro128plus(seed);
+		const tables = tablesWith(0);
+		const jobs = new Map<string, { job: Job; left: number; began: number | null }>();
+		const add = (id: string, tasks: number, at: number, priority: Priority) => {
+			const job = tables.addJob(id, specOf(id, { tasks, cpus: 1, priority }), at * 1000, 1);
+			jobs.set(id, { job, left: tasks, began: null });
+		};
+		// Eight tasks run at once, and more than eight tasks' worth of small jobs comes all the time.
+		const free: number[] = Array.from({ length: 8 }, () => 0);
+		add("j-largest", 60, 0, seed % 2 === 0 ? "best_effort" : "normal");
+		for (let s = 0; s < 900; s++) {
+			if (s % 2 === 0) add(`j-${s}`, uniformInt(random, 1, 4), s, "normal");
+			const date = s * 1000;
+			for (let slot = 0; slot < free.length; slot++) {
+				if ((free[slot] as number) > s) continue;
+				const waiting = [...jobs.values()].filter((j) => j.left > 0).map((j) => j.job);
+				const next =
+					waiting.find((job) => starved(job, date)) ??
+					servingOrder(waiting, (team) => tables.quotas.team(team), date)[0];
+				const entry = next && jobs.get(next.id);
+				if (!entry) continue;
+				entry.left -= 1;
+				entry.began ??= s;
+				entry.job.done.add(entry.left);
+				free[slot] = s + 10;
+			}
+		}
+		const largest = jobs.get("j-largest");
+		assert.ok(largest?.began != null && largest.began < 240, `seed ${seed}: began at ${largest?.began}`);
+		assert.ok(largest.left < 30, `seed ${seed}: ${largest.left} of 60 tasks never began`);
+	}
+});
+
 function running(tables: Tables, id: string, more: Partial<JobSpec>, n: number, since: number) {
 	const job = tables.addJob(id, specOf(id, { tasks: n, ...more }), 0, 1);
 	job.fillWaiting();
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -27,6 +27,7 @@
 		epoch,
 		[{ name: "red", cpus: 8, cpus_max: 8, gpus: 0, gpus_max: 0 }],
 		new Map([["small", type]]),
+		12_000,
 	);
 	const job = tables.addJob("j-1", spec, 0, 1);
 	job.fillWaiting();
@@ -182,6 +183,74 @@
 	assert.equal(tables.quotas.use("red").cpus, 0);
 });
 
+test("one lost answer changes nothing; after two in a row nothing more is sent until its lease has held", () => {
+	const { tables, job, machine, attempt } = withOneSent();
+	applyReport(tables, report(2), 1000);
+	assert.equal(machine.deafAt, null);
+	assert.equal(ordersFor(tables, machine).length, 1);
+	applyReport(tables, report(3), 2000);
+	assert.equal(machine.deafAt, 2000);
+	assert.equal(job.attempts.has(0), false, "a start that no report lists can no longer be carried out");
+	assert.ok(job.waiting.includes(attempt.index));
+	assert.equal(tables.decide(job, machine), null);
+	applyReport(tables, report(4), 2000 + tables.certainMs);
+	assert.notEqual(machine.deafAt, null);
+	applyReport(tables, report(5), 2000 + 1.6 * tables.certainMs);
+	assert.equal(machine.deafAt, null);
+	assert.notEqual(tables.decide(job, machine), null);
+});
+
+test("a start that is listed after one lost answer counts as heard", () => {
+	const { tables, machine, attempt } = withOneSent();
+	applyReport(tables, report(2), 1000);
+	ordersFor(tables, machine);
+	applyReport(tables, report(3, [task(0, attempt.number, "running")]), 2000);
+	assert.equal(machine.lostAnswers, 0);
+});
+
+test("a lease that runs out although it was answered all the time shows a machine that hears nothing", () => {
+	const { tables, machine } = withOneSent();
+	machine.answeredAt = 20_000;
+	applyReport(tables, report(1, [], { session: 2 }), 21_000);
+	assert.equal(machine.deafAt, 21_000);
+	const silent = withOneSent();
+	silent.machine.answeredAt = 0;
+	applyReport(silent.tables, report(1, [], { session: 2 }), 21_000);
+	assert.equal(silent.machine.deafAt, null, "it was cut off both ways");
+});
+
+test("answers to a machine that never takes up the token renew nothing", () => {
+	const { tables, job } = fresh();
+	const old = { token: epoch - 1 };
+	applyReport(tables, report(1, [task(0, 900, "running")], old), 0);
+	const machine = tables.machines.get("n-1");
+	assert.ok(machine);
+	tables.hide(machine);
+	for (let at = 3000; at < tables.certainMs; at += 3000) {
+		machine.answeredAt = at;
+		assert.equal(applyReport(tables, report(1 + at, [], old), at).kind, "applied");
+		assert.equal(job.attempts.size, 1);
+		assert.equal(tables.rebuilt, false);
+	}
+	assert.equal(applyReport(tables, report(99_999, [], old), tables.certainMs + 1).kind, "expired");
+	assert.equal(job.attempts.size, 0);
+	assert.equal(tables.rebuilt, true);
+});
+
+test("a late copy that lists an earlier attempt yields to the later one", () => {
+	const { tables, job } = fresh();
+	applyReport(tables, report(7, [task(0, 900, "running")], { token: 7 }), 0);
+	const real = report(1, [task(0, 905, "running")], { machine: "n-2", token: 7 });
+	applyReport(tables, real, 10);
+	assert.equal(job.attempts.get(0)?.number, 905, "it was decided when the one before was proved over");
+	assert.equal(tables.quotas.use("red").cpus, 1);
+	const n2 = tables.machines.get("n-2");
+	assert.ok(n2);
+	assert.deepEqual(ordersFor(tables, n2), []);
+	applyReport(tables, report(9, [task(0, 900, "running")], { token: 7 }), 20);
+	assert.equal(job.attempts.get(0)?.number, 905);
+});
+
 test("answers of overlapping watches never bring back what has ended", () => {
 	const replica = new Replica();
 	const record = { spec, at: 0 };
