--- a/src/coordination/ordering.ts
+++ b/src/coordination/ordering.ts
@@ -4,11 +4,12 @@
 /** Best effort work counts as this many times as long as it is. */
 const bestEffortFactor = 1.2;
 
-/** Each such time of waiting makes a job count as shorter by its length once more. */
-const ageingS = 40;
-/** A job of which nothing has begun for this long goes before the others of its tier. */
-const overdueS = 90;
-/** And after this long one task of it goes before everything. */
+/**
+ * Each second of waiting counts as so many seconds less to do. A job that is longer by n
+ * seconds is thus overtaken only by those that came at most n over this later.
+ */
+const ageingWeight = 0.5;
+/** Of a job of which nothing has begun for this long, one task goes before everything. */
 const starvedS = 150;
 
 /**
@@ -26,13 +27,9 @@
 	return Math.max(0, date - job.at) / 1000;
 }
 
-function begun(job: Job): boolean {
-	return job.attempts.size > 0 || job.done.count > 0;
-}
-
 /** Nothing of it has begun for so long that it would be counted as starved. */
 export function starved(job: Job, date: number): boolean {
-	return !begun(job) && ageS(job, date) > starvedS;
+	return job.attempts.size === 0 && job.done.count === 0 && ageS(job, date) > starvedS;
 }
 
 function dueAt(job: Job): number {
@@ -47,7 +44,7 @@
  * strictly behind, it would wait for the longest array of its team.
  *
  * Shortest first alone would starve the largest array as long as smaller ones come.
- * So waiting counts: a job ages, and one of which nothing has begun for long is next.
+ * So waiting counts.
  *
  * `date` is the time of day, since a job's age must outlast a change of leader.
  */
@@ -60,13 +57,12 @@
 	return jobs
 		.map((job) => {
 			const urgent = job.rank < 2;
-			const age = ageS(job, date);
-			const seconds = remainingSeconds(job, teamOf(job.spec.team), evenCpus) / (1 + age / ageingS);
+			const seconds = remainingSeconds(job, teamOf(job.spec.team), evenCpus);
 			return {
 				job,
 				tier: urgent ? job.rank : 2,
 				due: urgent ? dueAt(job) : 0,
-				seconds: !begun(job) && age > overdueS ? 0 : job.rank > 2 ? seconds * bestEffortFactor : seconds,
+				seconds: (job.rank > 2 ? seconds * bestEffortFactor : seconds) - ageingWeight * ageS(job, date),
 			};
 		})
 		.sort(
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -39,12 +39,14 @@
 	// One report is in flight at a time, so one that shows an earlier token was sent without
 	// the answers before it, and these can no longer arrive: they have renewed nothing. What
 	// its lease rests on is older than this term, however often we have answered.
-	if (!machine.confirmed && report.token < tables.epoch) {
-		machine.answeredAt = machine.knownAt;
-		if (now - machine.knownAt > tables.certainMs && report.session === machine.session) {
-			tables.expire(machine);
-			return { kind: "expired" };
-		}
+	if (
+		!machine.confirmed &&
+		report.token < tables.epoch &&
+		now - machine.knownAt > tables.certainMs &&
+		report.session === machine.session
+	) {
+		tables.expire(machine);
+		return { kind: "expired" };
 	}
 	const newSession = machine.session !== 0 && report.session > machine.session;
 	// Its lease ran out although it was answered all the time.
