--- a/src/coordination/local-copy.ts
+++ b/src/coordination/local-copy.ts
@@ -4,6 +4,8 @@
 
 const watchMs = 2500;
 const watchPauseMs = 100;
+const compareEveryMs = 60_000;
+const compareAgainMs = 5_000;
 const silentMs = watchMs + 1500;
 const gatherMs = 15;
 
@@ -27,7 +29,7 @@
 	/** Steady time at which the store last answered. */
 	heardAt = -Infinity;
 	private failedAt = -Infinity;
-	private nextTry = -Infinity;
+	private doubtful = new Set<string>();
 
 	constructor(
 		private readonly replica: Replica,
@@ -39,6 +41,7 @@
 
 	start(): void {
 		this.watchOn();
+		this.compareLater(compareEveryMs);
 	}
 
 	stop(): void {
@@ -49,7 +52,8 @@
 		if (this.stopped) return;
 		const from = this.replica.epoch;
 		const step = this.replica.loaded
-			? this.store.watch(keys.root, from, watchMs)
+			? // In silence, short calls find out soon that it has ended.
+				this.store.watch(keys.root, from, this.silent ? 0 : watchMs)
 			: this.reload().then(() => null);
 		step.then(
 			(answer) =>
@@ -102,15 +106,45 @@
 		return this.time.now() - this.heardAt > silentMs && this.failedAt > this.heardAt;
 	}
 
+	/** Throws if a call to the store would only keep its user waiting. */
+	expectAnswer(): void {
+		if (this.silent) throw new CallFailed("refused", 0, "the state service is silent");
+	}
+
+	private compareLater(ms: number): void {
+		this.time.after(ms, () => {
+			if (this.stopped) return;
+			this.compare().then(
+				(doubtful) => this.compareLater(doubtful ? compareAgainMs : compareEveryMs),
+				() => this.compareLater(compareEveryMs),
+			);
+		});
+	}
+
 	/**
-	 * Throws if a call to the store would only keep its user waiting. Now and then one
-	 * goes through, so that the end of the silence is noticed.
+	 * Reads the live jobs anew and compares. A job that the copy lacks, or has too many, twice
+	 * in a row was missed somewhere, and the copy is made anew; once, it may just have changed.
 	 */
-	expectAnswer(): void {
-		if (!this.silent) return;
-		const now = this.time.now();
-		if (now < this.nextTry) throw new CallFailed("refused", 0, "the state service is silent");
-		this.nextTry = now + 500;
+	private async compare(): Promise<boolean> {
+		if (!this.replica.loaded) return false;
+		const { rows } = await this.store.rows(keys.jobs);
+		await this.fence();
+		return new Promise((resolve) =>
+			this.post(() => {
+				const there = new Set(rows.map((row) => row.key.slice(keys.jobs.length)));
+				const differing = new Set<string>();
+				for (const id of there)
+					if (!this.replica.jobs.has(id) && !this.replica.finals.has(id)) differing.add(id);
+				for (const id of this.replica.jobs.keys()) if (!there.has(id)) differing.add(id);
+				const missed = [...differing].filter((id) => this.doubtful.has(id));
+				this.doubtful = differing;
+				if (missed.length > 0) {
+					this.log.error({ jobs: missed }, "the local copy differs from the store: made anew");
+					this.reload().catch(() => {});
+				}
+				resolve(differing.size > 0);
+			}),
+		);
 	}
 
 	/** Resolves once the copy holds all that was in the store when this was called. */
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -2,7 +2,10 @@
 import { test } from "node:test";
 import { Leadership } from "../src/coordination/leadership.js";
 import { CallFailed, type StorePort } from "../src/coordination/ports.js";
+import { SharedRecords } from "../src/coordination/shared-records.js";
 import type { PeerMessage } from "../src/protocol/peer.js";
+import { transactionBody } from "../src/protocol/wire.js";
+import type { Answer } from "../src/transport/http-client.js";
 import { StoreClient } from "../src/transport/store-client.js";
 import { FakeTime } from "./support/fake-time.js";
 import { StateService } from "./support/state-service.js";
@@ -150,6 +153,10 @@
 	told.leadership.message("a", { kind: "leading", epoch: 0, leading: false, asker: "inc" });
 	await told.run(300);
 	assert.deepEqual(told.won, [], "one of two has answered");
+	// A late copy of what an earlier process of this node was told: it may have promised since.
+	told.leadership.message("b", { kind: "leading", epoch: 0, leading: false, asker: "before" });
+	await told.run(300);
+	assert.deepEqual(told.won, []);
 	told.leadership.message("b", { kind: "leading", epoch: 0, leading: false, asker: "inc" });
 	await told.run(300);
 	assert.equal(told.won.length, 1);
@@ -209,3 +216,145 @@
 	assert.deepEqual(theirs.won, [], "the key is another node's");
 	assert.deepEqual(theirs.service.rows.get("r/one/leader")?.v, { node: "a" });
 });
+
+test("a write of shared records that is applied late brings nothing back", async () => {
+	const time = new FakeTime();
+	const service = new StateService(time);
+	await service.handle("POST", "/multi", transactionBody([], [{ put: "r/one/leader", value: {} }]), "me");
+	let late = true;
+	const caller = {
+		call: (method: string, path: string, body: unknown): Promise<Answer> => {
+			if (!late || path !== "/multi") return service.handle(method, path, body, "me");
+			late = false;
+			time.after(5000, () => void service.handle(method, path, body, "me"));
+			return new Promise((_, reject) =>
+				time.after(1500, () => reject(new CallFailed("unknown", 0, "no answer in time"))),
+			);
+		},
+		close() {},
+	};
+	const confirmed: string[] = [];
+	const records = new SharedRecords<string>(
+		"r/x/",
+		{ key: "r/one/leader", revision: 1 },
+		1000,
+		new StoreClient(caller, time, 1000, 1000, 1),
+		{
+			post: (command) => command(),
+			now: () => time.now(),
+			lostKey: () => assert.fail("the key is ours"),
+			confirmed: (entries) => confirmed.push(...entries.keys()),
+			failed() {},
+		},
+		{ rateClass: "normal", everyMs: 100, shrinkMs: 500 },
+	);
+	const run = async (ms: number) => {
+		for (let t = 0; t < ms; t += 50) {
+			records.flush();
+			await time.advance(50);
+		}
+	};
+	records.set("a", "1");
+	await run(200);
+	records.set("b", "2");
+	await run(2500);
+	assert.deepEqual(confirmed.sort(), ["a", "b"]);
+	const stored = () => [...service.rows].filter(([key]) => key.startsWith("r/x/")).map(([, row]) => row.v);
+	assert.deepEqual(stored(), [{ entries: { a: "1", b: "2" } }]);
+	await run(5000);
+	assert.deepEqual(stored(), [{ entries: { a: "1", b: "2" } }], "the first write came late");
+	records.delete("a");
+	records.delete("b");
+	await run(2000);
+	assert.deepEqual(stored(), []);
+});
+
+test("a write of shared records whose answer was lost is found out by reading it back", async () => {
+	const c = candidate([]);
+	await c.service.handle("POST", "/multi", transactionBody([], [{ put: "r/one/leader", value: {} }]), "me");
+	let lose = true;
+	const confirmed: string[] = [];
+	const records = new SharedRecords<string>(
+		"r/x/",
+		{ key: "r/one/leader", revision: 1 },
+		1000,
+		new StoreClient(
+			{
+				call: async (method, path, body) => {
+					const answer = await c.service.handle(method, path, body, "me");
+					if (!lose || path !== "/multi") return answer;
+					lose = false;
+					throw new CallFailed("unknown", 0, "no answer");
+				},
+				close() {},
+			},
+			c.time,
+			1000,
+			1000,
+			1,
+		),
+		{
+			post: (command) => command(),
+			now: () => c.time.now(),
+			lostKey: () => assert.fail("the key is ours"),
+			confirmed: (entries) => confirmed.push(...entries.keys()),
+			failed() {},
+		},
+		{ rateClass: "normal", everyMs: 100, shrinkMs: 500 },
+	);
+	records.set("a", "1");
+	for (let t = 0; t < 3000; t += 50) {
+		records.flush();
+		await c.time.advance(50);
+	}
+	assert.deepEqual(confirmed, ["a"]);
+});
+
+test("a node that hears nothing of the store answers 503 at once and is not ready while others are served", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	const other = nodeNames.find((n) => n !== world.leaderNode()) as string;
+	assert.equal(world.ready(other), true);
+	world.network.fault = (from, to) => (to === "state" && from.startsWith(other) ? { cut: true } : {});
+	await world.time.advance(12_000);
+	assert.equal(world.ready(other), false);
+	for (let i = 0; i < 10; i++) {
+		const before = world.time.now();
+		assert.equal((await world.submit(other, { ...job, id: `j-00010${i}` })).status, 503);
+		assert.ok(world.time.now() - before <= 50, "kept waiting");
+	}
+	world.network.fault = () => ({});
+	await world.time.advance(8000);
+	assert.equal(world.ready(other), true);
+	// When nobody is served, leaving would only make coming back late.
+	world.state.setOutage(true);
+	await world.time.advance(12_000);
+	for (const node of nodeNames) assert.equal(world.ready(node), true);
+});
+
+test("a job whose watch event was lost is found by comparing with the store", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	await world.submit("runner-0", { ...job, id: "j-000002" });
+	const record = world.state.rows.get("r/job/j-000002");
+	assert.ok(record);
+	const body = { ...job, id: "j-000003" };
+	world.expectJob(body);
+	const spec = { ...(record.v as { spec: object }).spec, id: "j-000003" };
+	world.state.epoch += 1;
+	world.state.rows.set("r/job/j-000003", { v: { spec, at: 0 }, stamp: world.state.epoch });
+	await world.time.advance(100_000);
+	assert.equal((await world.poll("runner-1", "j-000003")).body.status, "done");
+	assert.deepEqual(world.broken, []);
+});
+
+test("late copies do not bring back a machine that was returned", async () => {
+	const world = new World();
+	world.copiesAfterS = [30];
+	await world.time.advance(2000);
+	await world.submit("runner-0", job);
+	await world.time.advance(120_000);
+	assert.equal(world.cloud.hosts.size, 0);
+	const ups = world.logs.filter((line) => line.includes(" machine up "));
+	assert.deepEqual(ups, [], "it was rented, so it never comes unexpected");
+});
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -212,6 +212,10 @@
 		this.processes.delete(node);
 	}
 
+	ready(node: string): boolean {
+		return this.processes.get(node)?.controller.ready() ?? false;
+	}
+
 	private peer(fromId: string, from: string, to: string, message: unknown): void {
 		const bytes = frame(message);
 		this.time.after(2, () => {
@@ -365,6 +369,12 @@
 		return answer ?? { status: 0, body: {} };
 	}
 
+	/** Makes a job known to the checker that comes into the store by another way. */
+	expectJob(job: JobBody): void {
+		const body = { desk: "red", loaners: true, ...job };
+		this.jobs.set(job.id, { body, runs: job.runs ?? 5, cancelledAt: null, told: new Set() });
+	}
+
 	async submit(node: string, job: JobBody): Promise<{ status: number; body: UserAnswer }> {
 		const { runs = 5, ...given } = job;
 		const body = {
