--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -10,6 +10,24 @@
 
 const mostPerPass = 8;
 const slack = 1e-6;
+/** Nothing is stopped for tasks that places freed in this time will hold. */
+const turnoverS = 4;
+
+/**
+ * Places that come free by themselves before long. A large fleet with short tasks frees
+ * dozens a second, and whoever is first in the order of service gets them: stopping
+ * work there throws it away for nothing.
+ */
+export function placesSoonFree(tables: Tables): { all: number; byTeam: Map<string, number> } {
+	let all = 0;
+	const byTeam = new Map<string, number>();
+	for (const job of tables.jobs.values()) {
+		const places = (turnoverS * job.attempts.size) / job.estimateS;
+		all += places;
+		byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + places);
+	}
+	return { all, byTeam };
+}
 
 /** Core seconds thrown away by stopping the attempt now. */
 export function costOfStopping(attempt: Attempt, now: number): number {
@@ -78,12 +96,19 @@
 	const enough = (room: { cpus: number; memory: number; gpus: number }) =>
 		room.cpus >= -slack && room.memory >= -slack && room.gpus >= -slack;
 
+	const soonFree = placesSoonFree(tables);
 	for (const job of waiting) {
 		const { spec } = job;
 		const limits = tables.quotas.team(spec.team);
 		if (!limits) continue;
 		const urgent = job.rank < 2;
-		let left = Math.min(job.waiting.length, mostPerPass);
+		// A team at its limit gets only the places that it frees itself.
+		const atLimit = !tables.quotas.fitsLimit(spec.team, spec.cpus, spec.gpus);
+		const own = soonFree.byTeam.get(spec.team) ?? 0;
+		const served = Math.floor(Math.min(soonFree.all, atLimit ? own : soonFree.all, job.waiting.length));
+		soonFree.all -= served;
+		if (atLimit) soonFree.byTeam.set(spec.team, own - served);
+		let left = Math.min(job.waiting.length - served, mostPerPass);
 		while (left > 0 && victims.length < mostPerPass * 3) {
 			left -= 1;
 			const used = () => tables.quotas.use(spec.team).cpus - (freed.get(spec.team) ?? 0) + spec.cpus;
