--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -40,6 +40,8 @@
 const rentalTriesMs = 60_000;
 /** A machine without tasks that answers do not reach goes back after this long. */
 const deafPatienceMs = 5000;
+/** Machines of a zone that is cut off are waited for this many times as long. */
+const zonePatience = 4;
 
 /** Rents and returns machines: the hill climb and its exceptions. */
 export class Fleet {
@@ -56,6 +58,9 @@
 	private returning = false;
 	private nextReturn = 0;
 	private nextRound: number;
+	/** Zones that seem to be cut off: nothing is rented there, and their machines are kept for longer. */
+	private cutOff = new Set<string>();
+	private nextZones = 0;
 	/** Unanswered for this long, a machine whose lease is over goes back. */
 	private readonly silentMs: number;
 
@@ -79,6 +84,10 @@
 	/** Called a few times a second, in the queue, with authority. */
 	tick(): void {
 		const now = this.time.now();
+		if (now >= this.nextZones) {
+			this.nextZones = now + 1000;
+			this.cutOff = this.silentZones();
+		}
 		this.returns(now);
 		if (!this.listing && now >= this.nextList) this.list(now);
 		if (now >= this.nextRound && this.listed && this.tables.rebuilt) {
@@ -245,7 +254,9 @@
 					Math.max(usable - cpus, job.spec.cpus),
 				)
 			: cheapest(this.tables.types.values());
-		const open = offers.filter((o) => (this.refusedUntil.get(offerKey(o)) ?? 0) <= now);
+		const open = offers.filter(
+			(o) => !this.cutOff.has(o.zone) && (this.refusedUntil.get(offerKey(o)) ?? 0) <= now,
+		);
 		const offer = open[0];
 		if (!offer) return;
 		// Dear machines are rented only when the load stays high for longer, by as much as they cost more.
@@ -398,6 +409,21 @@
 
 	// --- returning ---
 
+	/** Lost machines by zone, against all that are up there. */
+	private silentZones(): Set<string> {
+		const zones = new Map<string, { lost: number; up: number }>();
+		for (const machine of this.tables.machines.values()) {
+			if (!machine.up) continue;
+			const zone = zones.get(machine.zone) ?? { lost: 0, up: 0 };
+			zone.up += 1;
+			if (machine.lost) zone.lost += 1;
+			zones.set(machine.zone, zone);
+		}
+		const silent = new Set<string>();
+		for (const [name, { lost, up }] of zones) if (lost >= 3 && lost > up / 2) silent.add(name);
+		return silent;
+	}
+
 	private wantsReturn(machine: Machine, now: number): string | null {
 		if (machine.returning) return "return requested";
 		// A machine that vanishes proves nothing until its lease has run out; one that was
@@ -405,7 +431,10 @@
 		if (machine.takenAt !== null && now >= machine.takenAt - takenLeadMs) return "about to be taken";
 		const hidden = this.tables.hidden.has(machine);
 		const held = machine.attempts.size > 0 || hidden;
-		if (machine.lost && now - machine.answeredAt > this.silentMs) return "silent";
+		// Most of a zone does not fall silent machine by machine: it is cut off, and what runs
+		// there is worth more when it is heard again than what would have to boot then.
+		const patience = this.cutOff.has(machine.zone) ? zonePatience : 1;
+		if (machine.lost && now - machine.answeredAt > this.silentMs * patience) return "silent";
 		const bootMs = Math.max(30, machine.type.bootS) * 1000 * this.settings.machines.boot_times;
 		if (!machine.up && !hidden && now - machine.rentedAt > bootMs) return "never came up";
 		// Its tasks go on until its lease has run out, unless answers reach it again before.
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -49,7 +49,7 @@
 		return { kind: "expired" };
 	}
 	const newSession = machine.session !== 0 && report.session > machine.session;
-	// Its lease ran out although it was answered all the time.
+	// Its lease ran out although it was answered lately. Once, the answer may just have come too late.
 	const ranOut = newSession && now - machine.answeredAt < tables.certainMs / 2;
 	machine.session = report.session;
 	machine.seq = report.seq;
@@ -131,9 +131,8 @@
 	certainMs: number,
 	now: number,
 ): void {
-	if (seen.ranOut) machine.lostAnswers = deafAfter;
-	else if (seen.startSeen) machine.lostAnswers = 0;
-	else if (seen.startUnseen) machine.lostAnswers += 1;
+	if (seen.startSeen) machine.lostAnswers = 0;
+	else if (seen.ranOut || seen.startUnseen) machine.lostAnswers += 1;
 	if (seen.ranOut || seen.startUnseen) {
 		machine.unheardAt = now;
 		if (machine.lostAnswers >= deafAfter) machine.deafAt ??= now;
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -17,6 +17,8 @@
 	cut_peer?: string;
 	join_peer?: string;
 	cut?: string;
+	/** No machine of the zone reaches a controller. */
+	cut_zone?: string;
 	heal?: string;
 	/** The task's machine hears nothing from now on. */
 	deaf?: string;
@@ -91,6 +93,7 @@
 		for (const n of step.cut_peer ? named(step.cut_peer) : []) world.cutPeer(n, true);
 		for (const n of step.join_peer ? named(step.join_peer) : []) world.cutPeer(n, false);
 		if (step.cut) world.workerOf(step.cut).cut = true;
+		for (const w of world.workers.values()) if (w.hall === step.cut_zone) w.cut = true;
 		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = false;
 		if (step.deaf) world.workerOf(step.deaf).deaf = true;
 		if (step.copies) world.copiesAfterS = step.copies;
