--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -40,7 +40,6 @@
 const rentalTriesMs = 60_000;
 /** A machine without tasks that answers do not reach goes back after this long. */
 const deafPatienceMs = 5000;
-const bootCredit = 0.5;
 /** Machines of a zone that is cut off are waited for this many times as long. */
 const zonePatience = 4;
 
@@ -242,13 +241,6 @@
 		this.log.info({ machines: marked.map((m) => m.id) }, "marked to drain and return");
 	}
 
-	private upCpus(): number {
-		let cpus = 0;
-		for (const machine of this.tables.machines.values())
-			if (machine.up && machine.counts) cpus += machine.type.cpus;
-		return cpus;
-	}
-
 	private rentFor(job: Job | null, work: number, unitS: number, n: number, cpus: number, now: number): void {
 		if (this.rental) return;
 		const most = this.settings.climb.most_machines;
@@ -278,12 +270,7 @@
 		)
 			return;
 		this.patience = 0;
-		// Until the new ones are up, those that are there go on: what they will have done by then
-		// needs no machine. Half of it, since more work comes meanwhile.
-		const doneByThen = bootCredit * this.upCpus() * offer.type.bootS;
-		const left = work > 0 ? work - doneByThen : 0;
-		if (n > 0 && work > 0 && left <= this.settings.climb.high * unitS * cpus) return;
-		let count = machinesToCut(left, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
+		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
 		// Cores beyond what the teams' limits allow would stand idle.
 		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
 		if (most > 0) count = Math.min(count, most - n);
