--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -467,6 +467,8 @@
 					this.returning = false;
 					for (const machine of leaving) {
 						this.goneAt.set(machine.id, this.time.now());
+						// Its place can be rented again, whatever was refused before.
+						this.refusedUntil.delete(offerKey(machine));
 						this.hooks.gone(machine);
 					}
 				}),
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -84,6 +84,7 @@
 	private nextPing = 0;
 	private readonly beganAt: number;
 	private hiddenReturned = false;
+	private rebuiltSaid = false;
 	private nextPreemption = 0;
 	private nextProgress = 0;
 	private nextAudit = 0;
@@ -559,6 +560,13 @@
 
 	private sweep(now: number): void {
 		this.giveUpHidden(now);
+		if (!this.rebuiltSaid && this.tables.rebuilt) {
+			this.rebuiltSaid = true;
+			this.ports.log.info(
+				{ epoch: this.epoch, afterMs: Math.round(now - this.beganAt) },
+				"rebuilt: starting tasks",
+			);
+		}
 		const { certainMs } = this;
 		const deaf: Machine[] = [];
 		for (const machine of this.tables.machines.values()) {
--- a/src/coordination/scaling.ts
+++ b/src/coordination/scaling.ts
@@ -112,7 +112,7 @@
 	price: number;
 }
 
-export function offerKey(offer: { type: MachineType; zone: string; spot: boolean }): string {
+export function offerKey(offer: Pick<Offer, "type" | "zone" | "spot">): string {
 	return `${offer.type.name}|${offer.zone}|${offer.spot ? "spot" : "ordinary"}`;
 }
 
