--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -83,7 +83,6 @@
 	private lastTick: number;
 	private nextPing = 0;
 	private readonly beganAt: number;
-	private hiddenReturned = false;
 	private rebuiltSaid = false;
 	private nextPreemption = 0;
 	private nextProgress = 0;
@@ -220,7 +219,8 @@
 	 * token there, so that every answer of an earlier leader is dead from then on.
 	 */
 	private sendProbes(): void {
-		let left = probesPerTick;
+		// Most workers come by themselves; whoever is late in that is asked all the same.
+		let left = this.lateMs > busyMs ? 2 : probesPerTick;
 		while (left > 0) {
 			const next = this.probes.shift();
 			if (!next) return;
@@ -545,14 +545,17 @@
 	/**
 	 * A machine that neither reports to a new leader nor answers it holds up every
 	 * start until its lease is over. Given back, it is proved gone at once. Not so
-	 * when many are silent: then the fault is more likely on this side.
+	 * when many are silent: then the fault is more likely on this side. Hundreds take
+	 * a while to be heard, so it is looked at again until few are left.
 	 */
 	private giveUpHidden(now: number): void {
-		if (now - this.beganAt < hiddenPatienceMs || this.hiddenReturned) return;
-		this.hiddenReturned = true;
 		const { hidden, machines } = this.tables;
-		if (hidden.size > Math.max(2, machines.size / 5)) return;
+		const waitedMs = now - this.beganAt;
+		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
+		const share = waitedMs < 3 * hiddenPatienceMs ? 1 / 20 : 1 / 5;
+		if (hidden.size > Math.max(2, machines.size * share)) return;
 		for (const machine of hidden) {
+			if (machine.returning) continue;
 			machine.returning = true;
 			this.ports.log.info({ machine: machine.id }, "not heard since the takeover: returning");
 		}
