--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -552,7 +552,8 @@
 		const { hidden, machines } = this.tables;
 		const waitedMs = now - this.beganAt;
 		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
-		const share = waitedMs < 3 * hiddenPatienceMs ? 1 / 20 : 1 / 5;
+		// The fewer are left, the sooner waiting for them costs more than they do.
+		const share = Math.min(1 / 5, 0.01 * 2 ** ((waitedMs - hiddenPatienceMs) / 1000));
 		if (hidden.size > Math.max(2, machines.size * share)) return;
 		for (const machine of hidden) {
 			if (machine.returning) continue;
