--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -32,6 +32,7 @@
 const typesEveryMs = 60_000;
 /** Others unheard for this long are taken to be out of reach. */
 const apartMs = 3000;
+const leaderSilentMs = 1200;
 
 /** One controller: the owner of its process's state. */
 export class Controller {
@@ -50,6 +51,7 @@
 	/** Steady time of the last word of any other controller, and of the last that the store answers it. */
 	private peerHeardAt = -Infinity;
 	private othersServedAt = -Infinity;
+	private leaderHeard = { node: "", at: -Infinity };
 
 	constructor(
 		private readonly platform: PlatformSettings,
@@ -239,16 +241,29 @@
 					return { kind: "orders", token: epoch, orders };
 				return { kind: "elsewhere", node: null };
 			}
-			const leader = this.replica.leader?.value.node ?? null;
-			return { kind: "elsewhere", node: leader === this.platform.node ? null : leader };
+			return { kind: "elsewhere", node: this.foreman() };
 		});
 	}
 
+	/**
+	 * The leader's key outlives a leader that crashed. A worker sent to it would hang there
+	 * while the next one waits to hear of every machine, so a silent leader is not named.
+	 */
+	private foreman(): string | null {
+		const leader = this.replica.leader?.value.node ?? null;
+		if (leader === null || leader === this.platform.node) return null;
+		const { node, at } = this.leaderHeard;
+		return node === leader && this.ports.time.now() - at <= leaderSilentMs ? leader : null;
+	}
+
 	peerMessage(from: string, raw: unknown): void {
 		const message = asPeerMessage(raw);
 		if (!message) return;
 		this.mailbox.post(() => {
 			this.peerHeardAt = this.ports.time.now();
+			if (message.kind === "running" || message.kind === "view") {
+				this.leaderHeard = { node: from, at: this.peerHeardAt };
+			}
 			switch (message.kind) {
 				case "view": {
 					const placements = placeFirstFit(
