--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -55,6 +55,7 @@
 	private listing = false;
 	private nextList = 0;
 	private listed = false;
+	private lastListed: Set<string> | null = null;
 	private returning = false;
 	private nextReturn = 0;
 	private nextRound: number;
@@ -380,6 +381,11 @@
 		}
 	}
 
+	/** The cloud has named its machines to this leader, and this one is not among them. */
+	unlisted(id: string): boolean {
+		return this.lastListed !== null && !this.lastListed.has(id);
+	}
+
 	private reconcile(list: ListedMachine[], now: number): void {
 		for (const [id, at] of this.goneAt) if (now - at > goneKeptMs) this.goneAt.delete(id);
 		const ids = new Set<string>();
@@ -401,6 +407,7 @@
 				this.log.info({ machine: item.id }, "failed machine goes back");
 			}
 		}
+		this.lastListed = ids;
 		// One known only from a list, never heard of and no longer listed, is not there.
 		for (const machine of [...this.tables.machines.values()]) {
 			if (machine.onlyListed && !machine.up && !ids.has(machine.id)) this.tables.machines.delete(machine.id);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -554,9 +554,12 @@
 		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
 		// The fewer are left, the sooner waiting for them costs more than they do.
 		const share = Math.min(1 / 5, 0.01 * 2 ** ((waitedMs - hiddenPatienceMs) / 1000));
-		if (hidden.size > Math.max(2, machines.size * share)) return;
+		// What the cloud does not list was returned or taken while its record could not be dropped.
+		// This is no proof, since a list may be late; its return is.
+		const here = [...hidden].filter((m) => !this.fleet.unlisted(m.id));
+		const few = here.length <= Math.max(2, machines.size * share);
 		for (const machine of hidden) {
-			if (machine.returning) continue;
+			if (machine.returning || !(few || this.fleet.unlisted(machine.id))) continue;
 			machine.returning = true;
 			this.ports.log.info({ machine: machine.id }, "not heard since the takeover: returning");
 		}
