--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -55,8 +55,6 @@
 const busyMs = 40;
 /** A machine not heard for this long after a takeover is given back. */
 const hiddenPatienceMs = 2000;
-/** Work that need not be served strictly in order is granted this many times what fits, for a choice by images. */
-const choice = 3;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
 /**
@@ -843,40 +841,37 @@
 			),
 		);
 		const taken = new Map<string, { cpus: number; gpus: number }>();
-		const already = new Map<Job, number>();
-		const grants: { grant: Grant; team: string }[] = [];
+		const grants = new Map<Job, number>();
 		const date = this.ports.time.date().getTime();
-		const urgent = jobs.filter((job) => job.rank < 2);
-		const rest = jobs.filter((job) => job.rank >= 2);
 		const passes = [
-			{ served: jobs.filter((job) => starved(job, date)), most: 1, guarantee: false, strict: true },
-			{ served: urgent, most: Number.POSITIVE_INFINITY, guarantee: true, strict: true },
-			{ served: rest, most: Number.POSITIVE_INFINITY, guarantee: true, strict: false },
-			{ served: urgent, most: Number.POSITIVE_INFINITY, guarantee: false, strict: true },
-			{ served: rest, most: Number.POSITIVE_INFINITY, guarantee: false, strict: false },
+			{ jobs: jobs.filter((job) => starved(job, date)), most: 1, guarantee: false },
+			{ jobs, most: Number.POSITIVE_INFINITY, guarantee: true },
+			{ jobs, most: Number.POSITIVE_INFINITY, guarantee: false },
 		];
-		passes.forEach(({ served, most, guarantee, strict }, group) => {
-			let left = strict ? freeCpus : freeCpus * choice;
-			const before = left;
+		for (const { jobs: served, most, guarantee } of passes) {
 			for (const job of served) {
-				if (left <= 0) break;
+				if (freeCpus <= 0) break;
 				const { spec } = job;
 				const extra = taken.get(spec.team) ?? { cpus: 0, gpus: 0 };
-				const given = already.get(job) ?? 0;
+				const already = grants.get(job) ?? 0;
 				const waiting = Math.min(job.waiting.length, job.doomed ? 1 : most);
-				let n = Math.min(waiting - given, quotas.room(spec.team, spec.cpus, spec.gpus, guarantee, extra));
-				n = Math.min(n, Math.ceil(left / spec.cpus));
+				let n = Math.min(waiting - already, quotas.room(spec.team, spec.cpus, spec.gpus, guarantee, extra));
+				n = Math.min(n, Math.ceil(freeCpus / spec.cpus));
 				if (n <= 0) continue;
-				already.set(job, given + n);
+				grants.set(job, already + n);
 				taken.set(spec.team, { cpus: extra.cpus + n * spec.cpus, gpus: extra.gpus + n * spec.gpus });
-				left -= n * spec.cpus;
-				const avoid = job.doomed ? [] : [...job.failedOn];
-				const zones = spec.oneZone || spec.spread ? this.tables.zonesOf(job) : {};
-				grants.push({ team: spec.team, grant: { job: job.id, count: n, avoid, zones, group, strict } });
+				freeCpus -= n * spec.cpus;
 			}
-			freeCpus -= Math.min(freeCpus, before - left);
-		});
-		return grants;
+		}
+		return [...grants].map(([job, count]) => ({
+			team: job.spec.team,
+			grant: {
+				job: job.id,
+				count,
+				avoid: job.doomed ? [] : [...job.failedOn],
+				zones: job.spec.oneZone || job.spec.spread ? this.tables.zonesOf(job) : {},
+			},
+		}));
 	}
 }
 
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -24,12 +24,6 @@
 	avoid: string[];
 	/** The job's tasks that may be anywhere, by zone. */
 	zones: Record<string, number>;
-	/**
-	 * Grants of one group may be served in any order that finds images in place; those of
-	 * an earlier group come first. Of a strict group each grant is served before the next.
-	 */
-	group: number;
-	strict: boolean;
 }
 
 export interface Placement {
@@ -75,10 +69,8 @@
 }
 
 /**
- * First-fit for one placer's grants. Machines that have the image come first, then the
- * rest, in the view's order from `start` on. Within a group that is not strict, every
- * grant looks for its image before any does without: more is granted there than fits,
- * and a place goes to whom it costs no fetch.
+ * First-fit for one placer's grants, in their order. Machines that have the
+ * image come first, then the rest, in the view's order from `start` on.
  * The machines given are used up as tasks are put on them.
  */
 export function placeFirstFit(
@@ -89,35 +81,26 @@
 ): Placement[] {
 	const placements: Placement[] = [];
 	const order = start === 0 ? machines : [...machines.slice(start), ...machines.slice(0, start)];
-	const open = grants.flatMap((grant) => {
+	for (const grant of grants) {
 		const spec = specOf(grant.job);
-		return spec ? [{ grant, spec, left: grant.count, zones: { ...grant.zones } }] : [];
-	});
-	const serve = (one: (typeof open)[number], withImage: boolean) => {
-		const { grant, spec, zones } = one;
-		for (const m of order) {
-			if (one.left <= 0) break;
-			if (m.cpus <= 0 || m.images.includes(spec.image) !== withImage || grant.avoid.includes(m.id)) continue;
-			const n = Math.min(one.left, fits(spec, m), zoneRoom(spec, zones, m.zone));
-			if (n <= 0) continue;
-			m.cpus -= n * spec.cpus;
-			m.gpus -= n * spec.gpus;
-			m.memory -= n * spec.memoryGb;
-			m.slots -= n;
-			zones[m.zone] = (zones[m.zone] ?? 0) + n;
-			one.left -= n;
-			placements.push({ job: grant.job, machine: m.id, count: n });
+		if (!spec) continue;
+		let left = grant.count;
+		const zones = { ...grant.zones };
+		for (const withImage of [true, false]) {
+			for (const m of order) {
+				if (left <= 0) break;
+				if (m.images.includes(spec.image) !== withImage || grant.avoid.includes(m.id)) continue;
+				const n = Math.min(left, fits(spec, m), zoneRoom(spec, zones, m.zone));
+				if (n <= 0) continue;
+				m.cpus -= n * spec.cpus;
+				m.gpus -= n * spec.gpus;
+				m.memory -= n * spec.memoryGb;
+				m.slots -= n;
+				zones[m.zone] = (zones[m.zone] ?? 0) + n;
+				left -= n;
+				placements.push({ job: grant.job, machine: m.id, count: n });
+			}
 		}
-	};
-	for (let i = 0; i < open.length; ) {
-		const first = open[i] as (typeof open)[number];
-		let end = i + 1;
-		if (!first.grant.strict) {
-			while (open[end]?.grant.group === first.grant.group) end += 1;
-		}
-		const group = open.slice(i, end);
-		for (const withImage of [true, false]) for (const one of group) serve(one, withImage);
-		i = end;
 	}
 	return placements;
 }
