--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -36,7 +36,7 @@
 const goneKeptMs = 10 * 60_000;
 const takenLeadMs = 700;
 /** An offer this many times as dear as the cheapest of its kind is not taken at once. */
-const dearFrom = 6;
+const dearFrom = 2;
 const rentalTriesMs = 60_000;
 /** A machine without tasks that answers do not reach goes back after this long. */
 const deafPatienceMs = 5000;
