--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -40,6 +40,8 @@
 const rentalTriesMs = 60_000;
 /** A machine without tasks that answers do not reach goes back after this long. */
 const deafPatienceMs = 5000;
+/** The cloud's own bound. */
+const mostPerCall = 50;
 /** Machines of a zone that is cut off are waited for this many times as long. */
 const zonePatience = 4;
 
@@ -271,11 +273,11 @@
 		)
 			return;
 		this.patience = 0;
-		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, 50);
+		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, mostPerCall);
 		// Cores beyond what the teams' limits allow would stand idle.
 		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
 		if (most > 0) count = Math.min(count, most - n);
-		count = Math.max(1, Math.min(50, count));
+		count = Math.max(1, Math.min(mostPerCall, count));
 		this.requestNumber += 1;
 		this.rental = {
 			request: {
@@ -301,7 +303,13 @@
 					for (const id of ids) this.expect(id, rental, now);
 					if (ids.length > 0) this.log.info({ ...request, got: ids.length }, "rented");
 					else this.log.debug({ ...request }, "no capacity");
-					if (ids.length < request.count) this.refusedSo(rental, now);
+					if (ids.length < request.count) this.refused(rental, now);
+					// What one offer could not give is asked of the next, and what one call could not
+					// ask for of another, without waiting for more rounds.
+					if (ids.length < request.count || request.count === mostPerCall) {
+						this.nextRound = Math.min(this.nextRound, now + 50);
+						this.counters.up = this.settings.climb.up_past;
+					}
 				}),
 			(error) =>
 				this.hooks.post(() => {
@@ -324,13 +332,6 @@
 		);
 	}
 
-	/** What one offer could not give is asked of the next without waiting for another round. */
-	private refusedSo(rental: Rental, now: number): void {
-		this.refused(rental, now);
-		this.nextRound = Math.min(this.nextRound, now + 50);
-		this.counters.up = this.settings.climb.up_past;
-	}
-
 	private refused(rental: Rental, now: number): void {
 		const { zone, spot } = rental.request;
 		this.refusedUntil.set(
