--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -83,7 +83,9 @@
 		const newer = (old: Versioned<unknown> | null | undefined) => !old || old.revision < revision;
 		if (key.startsWith(keys.jobs)) {
 			const id = key.slice(keys.jobs.length);
-			if (newer(this.jobs.get(id))) this.jobs.set(id, { value: value as JobRecord, revision });
+			// Final states never change: a live record of such a job was read before it ended.
+			if (!this.finals.has(id) && newer(this.jobs.get(id)))
+				this.jobs.set(id, { value: value as JobRecord, revision });
 		} else if (key.startsWith(keys.finals)) {
 			const id = key.slice(keys.finals.length);
 			this.rememberFinal(id, value as FinalRecord);
--- a/src/coordination/shared-records.ts
+++ b/src/coordination/shared-records.ts
@@ -214,7 +214,7 @@
 	}
 }
 
-/** Characters that an entry takes in the value's JSON, or a little more. */
+/** Bytes that an entry takes in the value's JSON, or a little more. */
 function sizeOf(name: string, value: unknown): number {
-	return name.length + JSON.stringify(value).length + 4;
+	return Buffer.byteLength(name) + Buffer.byteLength(JSON.stringify(value)) + 4;
 }
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -217,20 +217,16 @@
 	assert.deepEqual(theirs.service.rows.get("r/one/leader")?.v, { node: "a" });
 });
 
-test("a write of shared records that is applied late brings nothing back", async () => {
+/** Shared records against the stand-in store; `call` may interfere with what reaches it. */
+async function sharedRecords(
+	interfere: (path: string, handle: () => Promise<Answer>, time: FakeTime) => Promise<Answer>,
+) {
 	const time = new FakeTime();
 	const service = new StateService(time);
 	await service.handle("POST", "/multi", transactionBody([], [{ put: "r/one/leader", value: {} }]), "me");
-	let late = true;
 	const caller = {
-		call: (method: string, path: string, body: unknown): Promise<Answer> => {
-			if (!late || path !== "/multi") return service.handle(method, path, body, "me");
-			late = false;
-			time.after(5000, () => void service.handle(method, path, body, "me"));
-			return new Promise((_, reject) =>
-				time.after(1500, () => reject(new CallFailed("unknown", 0, "no answer in time"))),
-			);
-		},
+		call: (method: string, path: string, body: unknown) =>
+			interfere(path, () => service.handle(method, path, body, "me"), time),
 		close() {},
 	};
 	const confirmed: string[] = [];
@@ -254,12 +250,25 @@
 			await time.advance(50);
 		}
 	};
+	const stored = () => [...service.rows].filter(([key]) => key.startsWith("r/x/")).map(([, row]) => row.v);
+	return { records, confirmed, run, stored };
+}
+
+test("a write of shared records that is applied late brings nothing back", async () => {
+	let late = true;
+	const { records, confirmed, run, stored } = await sharedRecords((path, handle, time) => {
+		if (!late || path !== "/multi") return handle();
+		late = false;
+		time.after(5000, () => void handle());
+		return new Promise((_, reject) =>
+			time.after(1500, () => reject(new CallFailed("unknown", 0, "no answer in time"))),
+		);
+	});
 	records.set("a", "1");
 	await run(200);
 	records.set("b", "2");
 	await run(2500);
 	assert.deepEqual(confirmed.sort(), ["a", "b"]);
-	const stored = () => [...service.rows].filter(([key]) => key.startsWith("r/x/")).map(([, row]) => row.v);
 	assert.deepEqual(stored(), [{ entries: { a: "1", b: "2" } }]);
 	await run(5000);
 	assert.deepEqual(stored(), [{ entries: { a: "1", b: "2" } }], "the first write came late");
@@ -270,43 +279,15 @@
 });
 
 test("a write of shared records whose answer was lost is found out by reading it back", async () => {
-	const c = candidate([]);
-	await c.service.handle("POST", "/multi", transactionBody([], [{ put: "r/one/leader", value: {} }]), "me");
 	let lose = true;
-	const confirmed: string[] = [];
-	const records = new SharedRecords<string>(
-		"r/x/",
-		{ key: "r/one/leader", revision: 1 },
-		1000,
-		new StoreClient(
-			{
-				call: async (method, path, body) => {
-					const answer = await c.service.handle(method, path, body, "me");
-					if (!lose || path !== "/multi") return answer;
-					lose = false;
-					throw new CallFailed("unknown", 0, "no answer");
-				},
-				close() {},
-			},
-			c.time,
-			1000,
-			1000,
-			1,
-		),
-		{
-			post: (command) => command(),
-			now: () => c.time.now(),
-			lostKey: () => assert.fail("the key is ours"),
-			confirmed: (entries) => confirmed.push(...entries.keys()),
-			failed() {},
-		},
-		{ rateClass: "normal", everyMs: 100, shrinkMs: 500 },
-	);
+	const { records, confirmed, run } = await sharedRecords(async (path, handle) => {
+		const answer = await handle();
+		if (!lose || path !== "/multi") return answer;
+		lose = false;
+		throw new CallFailed("unknown", 0, "no answer");
+	});
 	records.set("a", "1");
-	for (let t = 0; t < 3000; t += 50) {
-		records.flush();
-		await c.time.advance(50);
-	}
+	await run(3000);
 	assert.deepEqual(confirmed, ["a"]);
 });
 
@@ -348,6 +329,24 @@
 	assert.deepEqual(world.broken, []);
 });
 
+test("a job that the leader was not told of is found in its own copy within seconds", async () => {
+	const world = new World();
+	await world.time.advance(2000);
+	await world.submit("runner-0", { ...job, id: "j-000002" });
+	await world.time.advance(500);
+	const leader = world.controllerOf(world.leaderNode() as string);
+	const known = leader.replica.jobs.get("j-000002");
+	assert.ok(known);
+	world.expectJob({ ...job, id: "j-000003" });
+	const value = { ...known.value, spec: { ...known.value.spec, id: "j-000003" } };
+	world.state.epoch += 1;
+	world.state.rows.set("r/job/j-000003", { v: value, stamp: world.state.epoch });
+	// In the copy, but no listener was called.
+	leader.replica.jobs.set("j-000003", { value, revision: world.state.epoch });
+	await world.time.advance(30_000);
+	assert.equal((world.state.rows.get("r/fin/j-000003")?.v as { status: string } | undefined)?.status, "done");
+});
+
 test("late copies do not bring back a machine that was returned", async () => {
 	const world = new World();
 	world.copiesAfterS = [30];
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -268,4 +268,7 @@
 	assert.equal(replica.epoch, 8);
 	replica.applyOwn(keys.job("j-1"), record, 6);
 	assert.equal(replica.jobs.has("j-1"), false);
+	// Made anew from rows that were read before the job ended.
+	replica.reset([{ key: keys.job("j-1"), value: record, revision: 6 }], 7);
+	assert.equal(replica.jobs.has("j-1"), false);
 });
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -212,6 +212,12 @@
 		this.processes.delete(node);
 	}
 
+	controllerOf(node: string): Controller {
+		const process = this.processes.get(node);
+		if (!process) throw new Error(`${node} is down`);
+		return process.controller;
+	}
+
 	ready(node: string): boolean {
 		return this.processes.get(node)?.controller.ready() ?? false;
 	}
