--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -35,6 +35,8 @@
 	/** Machines on which tasks of this job failed since one last succeeded. */
 	readonly failedOn = new Set<string>();
 	notBefore = 0;
+	/** Steady time until which the leader places it, whoever its team's placer is. */
+	placedHereUntil = 0;
 	/** Steady time at which this leader came to know it. */
 	knownAt = 0;
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -300,6 +300,7 @@
 						epoch: message.epoch,
 						cycle: message.cycle,
 						placements,
+						unknown: message.grants.map((g) => g.job).filter((id) => !this.replica.jobs.has(id)),
 					});
 					break;
 				}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -53,6 +53,8 @@
 const probesPerTick = 12;
 /** With ticks later than this on the average, the process is short of processor time. */
 const busyMs = 40;
+/** A job that its placer does not know is placed by the leader for so long. */
+const placedHereMs = 5000;
 /** A machine not heard for this long after a takeover is given back. */
 const hiddenPatienceMs = 2000;
 const idleHoldMs = 1500;
@@ -765,7 +767,8 @@
 		const live = this.livePlacers(now);
 		const shares = new Map<string, Grant[]>();
 		for (const { grant, team } of grants) {
-			const placer = placerOf(team, live) ?? this.self;
+			const here = (this.tables.jobs.get(grant.job)?.placedHereUntil ?? 0) > now;
+			const placer = here ? this.self : (placerOf(team, live) ?? this.self);
 			// A placer still at work on the last view may be using its teams' room already.
 			if (this.outstanding.has(placer)) continue;
 			shares.set(placer, [...(shares.get(placer) ?? []), grant]);
@@ -815,6 +818,12 @@
 		if (!asked || asked.cycle !== message.cycle) return;
 		this.outstanding.delete(from);
 		if (Array.isArray(message.placements)) this.issue(message.placements);
+		// A placer that lags behind, or has missed a job, must not keep it from starting.
+		for (const id of message.unknown ?? []) {
+			const job = this.tables.jobs.get(id);
+			if (job) job.placedHereUntil = now + placedHereMs;
+			this.tables.changed = true;
+		}
 	}
 
 	private inOrder(jobs: Job[]): Job[] {
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -4,8 +4,8 @@
 export type PeerMessage =
 	/** Leader to placer: what is free and what may be started; also a sign of life. */
 	| { kind: "view"; epoch: number; cycle: number; start: number; machines: ViewMachine[]; grants: Grant[] }
-	/** Placer to leader. */
-	| { kind: "placed"; epoch: number; cycle: number; placements: Placement[] }
+	/** Placer to leader; `unknown`: jobs that its own copy of the store lacks. */
+	| { kind: "placed"; epoch: number; cycle: number; placements: Placement[]; unknown: string[] }
 	/**
 	 * Leader to all, now and then: tasks running by job, for display; answered by a sign of life.
 	 * `served`: the store answers the leader; `hearing`: most workers reach it.
