--- a/src/coordination/scaling.ts
+++ b/src/coordination/scaling.ts
@@ -93,7 +93,7 @@
 	leaving: readonly number[],
 	lowPerCpu: number,
 ): number {
-	const most = Math.max(1, Math.floor(machines / 16));
+	const most = Math.max(1, Math.floor(machines / 8));
 	let left = cpus;
 	for (let k = 0; k < leaving.length; k++) {
 		if (k === most) return k;
