--- a/src/main.ts
+++ b/src/main.ts
@@ -72,7 +72,7 @@
 		steadyTime,
 		cluster.state.rps,
 		cluster.state.write_rps,
-		cluster.nodes,
+		platform.others.length + 1,
 	);
 	const peers = new PeerLinks(
 		platform.node,
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -33,7 +33,7 @@
 	others: v.optional(v.array(v.object({ node: text, domain: text, addr: address })), []),
 	endpoints: v.object({ cloud: address, state: address }),
 	cluster: v.object({
-		nodes: v.optional(count, 1),
+		nodes: v.optional(count),
 		zones: v.optional(v.array(text), []),
 		clock_off_ms: v.optional(amount, 0),
 		teams: v.optional(v.array(Team), []),
@@ -100,5 +100,25 @@
 			throw new SettingsError(`${file}: field "cluster.teams.${i}": the guarantee must not exceed the limit`);
 		}
 	});
+	// Every promise and vote is counted by node name.
+	const nodes = new Set([settings.node]);
+	settings.others.forEach(({ node }, i) => {
+		if (nodes.has(node)) {
+			throw new SettingsError(`${file}: field "others.${i}.node": "${node}" is named twice`);
+		}
+		nodes.add(node);
+	});
+	const { nodes: count, workers } = settings.cluster;
+	if (count !== undefined && count !== nodes.size) {
+		throw new SettingsError(
+			`${file}: field "cluster.nodes": is ${count}, but this node and "others" are ${nodes.size}`,
+		);
+	}
+	if (workers.report_s >= workers.lease_s) {
+		throw new SettingsError(`${file}: field "cluster.workers.report_s": must be less than "lease_s"`);
+	}
+	if (workers.lease_s >= workers.cancel_s) {
+		throw new SettingsError(`${file}: field "cluster.workers.lease_s": must be less than "cancel_s"`);
+	}
 	return settings;
 }
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -235,6 +235,17 @@
 		() => parsePlatform("s.toml", settings.replace("cpus_max = 8.0", "cpus_max = 1.0")),
 		/guarantee must not exceed/,
 	);
+	const peer = (node: string) => `[[others]]\nnode = "${node}"\ndomain = "z"\naddr = "127.0.0.1:9"\n`;
+	const with4 = `${settings.replace("nodes = 1", "nodes = 5")}${["a", "b", "c", "d"].map(peer).join("")}`;
+	assert.equal(parsePlatform("s.toml", with4).others.length, 4);
+	const refused: [string, RegExp][] = [
+		[with4.replace("nodes = 5", "nodes = 3"), /"cluster\.nodes": is 3, but .* are 5/],
+		[with4.replace('"d"', '"a"'), /"others\.3\.node": "a" is named twice/],
+		[with4.replace('"d"', '"runner-0"'), /"others\.3\.node": "runner-0" is named twice/],
+		[settings.replace("report_s = 1.0", "report_s = 10.0"), /"cluster\.workers\.report_s"/],
+		[settings.replace("cancel_s = 37.0", "cancel_s = 9.0"), /"cluster\.workers\.lease_s"/],
+	];
+	for (const [text, message] of refused) assert.throws(() => parsePlatform("s.toml", text), message);
 });
 
 test("operators' settings: unknown fields are rejected by name, limits are checked", async () => {
