--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -51,8 +51,6 @@
 const holdSweepMs = 30;
 /** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
 const probesPerTick = 12;
-const fewProbes = 40;
-const probesAfterMs = 1500;
 /** With ticks later than this on the average, the process is short of processor time. */
 const busyMs = 40;
 /** A job that its placer does not know is placed by the leader for so long. */
@@ -233,10 +231,8 @@
 	 * token there, so that every answer of an earlier leader is dead from then on.
 	 */
 	private sendProbes(): void {
-		// Most workers come by themselves within a second or two. Asking costs several times what
-		// hearing does, so where there are many, only those who are late in that are asked.
-		if (this.probes.length > fewProbes && this.ports.time.now() - this.beganAt < probesAfterMs) return;
-		let left = this.lateMs > busyMs ? 4 : probesPerTick;
+		// Most workers come by themselves; whoever is late in that is asked all the same.
+		let left = this.lateMs > busyMs ? 2 : probesPerTick;
 		while (left > 0) {
 			const next = this.probes.shift();
 			if (!next) return;
