--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -63,7 +63,6 @@
 	private nextRound: number;
 	/** Zones that seem to be cut off: nothing is rented there, and their machines are kept for longer. */
 	private cutOff = new Set<string>();
-	private nextZones = 0;
 	/** Unanswered for this long, a machine whose lease is over goes back. */
 	private readonly silentMs: number;
 
@@ -87,10 +86,7 @@
 	/** Called a few times a second, in the queue, with authority. */
 	tick(): void {
 		const now = this.time.now();
-		if (now >= this.nextZones) {
-			this.nextZones = now + 1000;
-			this.cutOff = this.silentZones();
-		}
+		this.cutOff = this.silentZones();
 		this.returns(now);
 		if (!this.listing && now >= this.nextList) this.list(now);
 		if (now >= this.nextRound && this.listed && this.tables.rebuilt) {
@@ -421,7 +417,8 @@
 	private silentZones(): Set<string> {
 		const zones = new Map<string, { lost: number; up: number }>();
 		for (const machine of this.tables.machines.values()) {
-			if (!machine.up) continue;
+			// One that a new leader never heard is lost too, once its lease has run out.
+			if (!machine.up && !machine.lost) continue;
 			const zone = zones.get(machine.zone) ?? { lost: 0, up: 0 };
 			zone.up += 1;
 			if (machine.lost) zone.lost += 1;
