--- a/src/coordination/ordering.ts
+++ b/src/coordination/ordering.ts
@@ -32,13 +32,31 @@
 	return job.attempts.size === 0 && job.done.count === 0 && ageS(job, date) > starvedS;
 }
 
-function dueAt(job: Job): number {
-	return job.spec.deadlineS === null ? Number.POSITIVE_INFINITY : job.at + job.spec.deadlineS * 1000;
+/** So many times its deadline a job is still worth something to its user. */
+const lateTimes = 1.5;
+
+/**
+ * The time of day by which the job should be done. Work that cannot make its deadline any
+ * more has no claim to go before work that still can: by due time alone, one job that is
+ * late already makes the next one late, and so on. It then goes by half as long again, and
+ * behind the others once that is past as well.
+ */
+function dueAt(job: Job, date: number): number {
+	const { deadlineS } = job.spec;
+	if (deadlineS === null) return Number.MAX_VALUE;
+	const ready = date + job.estimateS * 1000;
+	const due = job.at + deadlineS * 1000;
+	if (ready <= due || job.attempts.size > 0) return due;
+	const late = job.at + lateTimes * deadlineS * 1000;
+	return ready <= late ? late : late + hopelessMs;
 }
 
+/** Longer than any deadline, so that the order among those past hope stays that of their due times. */
+const hopelessMs = 1e12;
+
 /**
  * The order in which jobs are served. Critical work comes before urgent work and
- * that before the rest; by due time among those with one, and else the shortest
+ * that before the rest; by due time among those with one that can be met, and else the shortest
  * remaining first: a team's limit is fixed, so this is what lets most jobs end
  * early. Best effort work yields to normal work of little more than its length, no more:
  * strictly behind, it would wait for the longest array of its team.
@@ -61,7 +79,7 @@
 			return {
 				job,
 				tier: urgent ? job.rank : 2,
-				due: urgent ? dueAt(job) : 0,
+				due: urgent ? dueAt(job, date) : 0,
 				seconds: (job.rank > 2 ? seconds * bestEffortFactor : seconds) - ageingWeight * ageS(job, date),
 			};
 		})
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -294,6 +294,25 @@
 	assert.deepEqual(order, ["j-crit", "j-soon", "j-late", "j-short", "j-effort", "j-long"]);
 });
 
+test("work that cannot make its deadline any more does not make others late", () => {
+	const tables = tablesWith(0);
+	const add = (id: string, deadlineS: number) =>
+		tables.addJob(id, specOf(id, { priority: "urgent", deadlineS, estimateS: 10 }), 0, 1);
+	add("j-soon", 20);
+	add("j-later", 29);
+	add("j-last", 60);
+	const order = (date: number) =>
+		servingOrder([...tables.jobs.values()], (t) => tables.quotas.team(t), date).map((j) => j.id);
+	assert.deepEqual(order(0), ["j-soon", "j-later", "j-last"]);
+	assert.deepEqual(order(15_000), ["j-later", "j-soon", "j-last"], "j-soon has until 30 s now");
+	assert.deepEqual(
+		order(25_000),
+		["j-later", "j-last", "j-soon"],
+		"j-later has until 43.5 s, j-soon is past hope",
+	);
+	assert.deepEqual(order(45_000), ["j-last", "j-soon", "j-later"]);
+});
+
 test("whatever stream of small jobs comes, the largest begins within four minutes and ends", () => {
 	for (const seed of [1, 2, 3, 4]) {
 		const random = xoroshiro128plus(seed);
