--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -11,7 +11,7 @@
 const mostPerPass = 8;
 const slack = 1e-6;
 /** Nothing is stopped for tasks that places freed in this time will hold. */
-const turnoverS = 4;
+const turnoverS = 1;
 
 /**
  * Places that come free by themselves before long. A large fleet with short tasks frees
