--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -71,17 +71,7 @@
 
 	/** May new tasks be placed here? */
 	get open(): boolean {
-		return (
-			this.up &&
-			this.confirmed &&
-			this.durable &&
-			!this.lost &&
-			!this.marked &&
-			!this.faulty &&
-			!this.returning &&
-			this.deafAt === null &&
-			this.takenAt === null
-		);
+		return this.up && this.confirmed && this.durable && this.counts;
 	}
 
 	/** Counts as capacity that is there or on its way. */
--- a/src/coordination/shared-records.ts
+++ b/src/coordination/shared-records.ts
@@ -74,10 +74,6 @@
 		return this.home.has(name);
 	}
 
-	names(): Iterable<string> {
-		return this.home.keys();
-	}
-
 	set(name: string, value: V): void {
 		const size = sizeOf(name, value);
 		let pack = this.home.get(name);
