Clean-up: one retry loop for a job's end, no copy of what the tables know, reports with a query

The audit started another loop of retries for a job's end each ten seconds of an outage; certainMs was kept twice; a report's path with a query had come to be answered 405.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -26,6 +26,7 @@
 	readonly waiting: number[] = [];
 	/** Set once the record that ends the job is being written. */
 	ending = false;
+	/** Steady time at which that was last tried. */
 	endingAt = 0;
 	cancelled = false;
 	/** Pages of `done` that have changed since they were last handed to be written. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -100,7 +100,6 @@
 	/** Machines that turned to other controllers, by controller. */
 	private readonly strays = new Map<string, { at: number; count: number }>();
 	private readonly leaseMs: number;
-	private readonly certainMs: number;
 	private readonly ledger: SharedRecords<MachineRecord>;
 	private readonly progress: SharedRecords<string>;
 
@@ -119,8 +118,8 @@
 	) {
 		const { cluster } = platform;
 		this.leaseMs = cluster.workers.lease_s * 1000;
-		this.certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
-		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])), this.certainMs);
+		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
+		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])), certainMs);
 		this.fleet = new Fleet(
 			this.tables,
 			ports.cloud,
@@ -447,12 +446,13 @@
 	private finishIfDone(job: Job): void {
 		if (!job.done.full || job.ending || job.cancelled) return;
 		job.ending = true;
-		job.endingAt = this.ports.time.now();
 		this.writeFinal(job);
 	}
 
 	private writeFinal(job: Job): void {
 		if (this.ended || job.cancelled) return;
+		// Tried again all along while the store is away, so the audit leaves it alone.
+		job.endingAt = this.ports.time.now();
 		const value: FinalRecord = { status: "done", tasks: job.spec.tasks, done: job.spec.tasks };
 		const changes: StoreChange[] = [{ delete: keys.job(job.id) }, { put: keys.final(job.id), value }];
 		const conditions = [this.leaderCondition(), { key: keys.job(job.id), revision: job.revision }];
@@ -586,7 +586,7 @@
 				"rebuilt: starting tasks",
 			);
 		}
-		const { certainMs } = this;
+		const { certainMs } = this.tables;
 		const deaf: Machine[] = [];
 		for (const machine of this.tables.machines.values()) {
 			if (machine.deafAt !== null && !machine.returning) deaf.push(machine);
@@ -617,7 +617,7 @@
 		for (const other of this.platform.others) {
 			this.send(other.node, { kind: "running", epoch: this.epoch, counts, served: this.served(), hearing });
 		}
-		this.apart = ears.up >= 2 && ears.heard < ears.up / 2 ? this.apart + 1 : 0;
+		this.apart = ears.up >= 2 && !hearing ? this.apart + 1 : 0;
 		this.stepAside(now, ears);
 	}
 
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -177,7 +177,8 @@
 	const others = getRequestListener(frontApp(service, log).fetch);
 	const reports = reportListener(service, log);
 	const server = createServer((request, response) => {
-		if (request.method === "POST" && request.url === paths.report) reports(request, response);
+		const isReport = request.url === paths.report || request.url?.startsWith(`${paths.report}?`);
+		if (request.method === "POST" && isReport) reports(request, response);
 		else void others(request, response);
 	});
 	// Idle and half-open connections must not use up the sockets.
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -186,6 +186,7 @@
 		assert.equal((await client.call("GET", "/v1/jobs/j-1", undefined, 5000)).status, 200);
 		const moved = await client.call("POST", "/v1/report", report, 5000);
 		assert.deepEqual(moved, { status: 421, body: { foreman: "runner-2" } });
+		assert.equal((await client.call("POST", "/v1/report?try=2", report, 5000)).status, 421);
 		const bad = await client.call("POST", "/v1/report", { ...report, shift: -1 }, 5000);
 		assert.equal(bad.status, 400);
 		assert.match((bad.body as { error: string }).error, /"shift"/);
