Preemption's pass costs what it finds, not jobs times machines times tasks

Cause: with 400 jobs waiting on 900 machines one pass took up to 410 ms of a whole core, 3 s of a small share, twice a second (the leader alone, timed on stand-ins). Each waiting task filtered all machines and sorted their tasks again. Now what may be stopped is sorted once a pass and machine, free room is looked for only where there is some, kinds of work for which there is nothing to stop are not searched for again, and beyond 150 machines a sample stands for all.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -671,7 +671,9 @@
 		);
 		if (waiting.length === 0) return;
 		const order = this.inOrder(waiting);
-		const victims = chooseVictims(this.tables, order, now);
+		const victims = chooseVictims(this.tables, order, now, (machines, most) =>
+			sampled(machines, most, this.ports.random),
+		);
 		if (victims.length === 0) return;
 		for (const victim of victims) {
 			const { spec } = victim.job;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -53,55 +53,200 @@
 	return limits !== undefined && tables.quotas.use(team).cpus - freedCpus > limits.cpus + slack;
 }
 
-export function chooseVictims(tables: Tables, waiting: Job[], now: number): Attempt[] {
-	const victims: Attempt[] = [];
-	const freed = new Map<string, number>();
-	const freedOn = new Map<Machine, { cpus: number; memory: number; gpus: number }>();
-	const free = (attempt: Attempt) => {
-		const { spec } = attempt.job;
-		freed.set(spec.team, (freed.get(spec.team) ?? 0) + spec.cpus);
-		const on = freedOn.get(attempt.machine) ?? { cpus: 0, memory: 0, gpus: 0 };
-		on.cpus += spec.cpus;
-		on.memory += spec.memoryGb;
-		on.gpus += spec.gpus;
-		freedOn.set(attempt.machine, on);
-	};
-	const take = (attempt: Attempt) => {
-		victims.push(attempt);
-		free(attempt);
-	};
-	// What was stopped before and has not ended yet is on its way to being free.
-	for (const machine of tables.machines.values()) {
-		for (const attempt of machine.attempts.values()) if (attempt.stop !== null) free(attempt);
+/** Machines looked through for work to stop; with more than this, a sample of them stands for all. */
+const planSample = 150;
+
+interface Amount {
+	cpus: number;
+	memory: number;
+	gpus: number;
+}
+
+/**
+ * One pass. It costs in proportion to the machines and attempts once, and then to what
+ * is found: with a backlog of hundreds of jobs a search of all machines for each task
+ * would take longer than there is between two passes.
+ */
+class Pass {
+	readonly victims = new Set<Attempt>();
+	/** Cores by team that victims, and what was stopped before, will free, less what is promised. */
+	private readonly freed = new Map<string, number>();
+	/** What will be free on a machine beside what is free now, less what is promised. */
+	private readonly extra = new Map<Machine, Amount>();
+	private readonly open: Machine[];
+	/** Open machines with anything free, now or soon. */
+	private readonly roomy = new Set<Machine>();
+	private readonly looked: Machine[];
+	private readonly cheapest = new Map<Machine, Attempt[]>();
+	private readonly own = new Map<string, Attempt[]>();
+	/** Kinds of work for which there was nothing to stop: the next job of the kind finds nothing either. */
+	private readonly hopeless = new Set<string>();
+
+	constructor(
+		private readonly tables: Tables,
+		private readonly now: number,
+		sample: (machines: Machine[]) => Machine[],
+	) {
+		this.open = [...tables.machines.values()].filter((m) => m.open && !m.suspect);
+		// What was stopped before and has not ended yet is on its way to being free.
+		for (const machine of tables.machines.values()) {
+			for (const attempt of machine.attempts.values()) if (attempt.stop !== null) this.free(attempt);
+		}
+		for (const m of this.open) if (m.freeCpus + (this.extra.get(m)?.cpus ?? 0) > slack) this.roomy.add(m);
+		this.looked = sample(this.open);
 	}
-	/** Cores and memory that waiting jobs of more right will take. */
-	const promised = new Map<Machine, { cpus: number; memory: number; gpus: number }>();
-	const roomOn = (machine: Machine, job: Job) => {
-		const f = freedOn.get(machine) ?? { cpus: 0, memory: 0, gpus: 0 };
-		const p = promised.get(machine) ?? { cpus: 0, memory: 0, gpus: 0 };
-		const { spec } = job;
+
+	private add(machine: Machine, { spec }: Job, sign: 1 | -1): void {
+		this.freed.set(spec.team, (this.freed.get(spec.team) ?? 0) + sign * spec.cpus);
+		const on = this.extra.get(machine) ?? { cpus: 0, memory: 0, gpus: 0 };
+		on.cpus += sign * spec.cpus;
+		on.memory += sign * spec.memoryGb;
+		on.gpus += sign * spec.gpus;
+		this.extra.set(machine, on);
+	}
+
+	private free(attempt: Attempt): void {
+		this.add(attempt.machine, attempt.job, 1);
+	}
+
+	private take(attempt: Attempt): void {
+		this.victims.add(attempt);
+		this.free(attempt);
+		if (attempt.machine.open && !attempt.machine.suspect) this.roomy.add(attempt.machine);
+	}
+
+	/** What is left on the machine once a task of the job is there too. */
+	private roomOn(machine: Machine, { spec }: Job): Amount {
+		const more = this.extra.get(machine);
 		return {
-			cpus: machine.freeCpus + f.cpus - p.cpus - spec.cpus,
-			memory: machine.freeMemory + f.memory - p.memory - spec.memoryGb,
-			gpus: machine.freeGpus + f.gpus - p.gpus - spec.gpus,
+			cpus: machine.freeCpus + (more?.cpus ?? 0) - spec.cpus,
+			memory: machine.freeMemory + (more?.memory ?? 0) - spec.memoryGb,
+			gpus: machine.freeGpus + (more?.gpus ?? 0) - spec.gpus,
 		};
-	};
-	const promise = (machine: Machine, job: Job) => {
-		const p = promised.get(machine) ?? { cpus: 0, memory: 0, gpus: 0 };
-		p.cpus += job.spec.cpus;
-		p.memory += job.spec.memoryGb;
-		p.gpus += job.spec.gpus;
-		promised.set(machine, p);
-	};
-	const enough = (room: { cpus: number; memory: number; gpus: number }) =>
-		room.cpus >= -slack && room.memory >= -slack && room.gpus >= -slack;
+	}
+
+	private used(team: string, more: number): number {
+		return this.tables.quotas.use(team).cpus - (this.freed.get(team) ?? 0) + more;
+	}
 
+	/** Finds a place for one more task of the job; false if nothing more can be done for it. */
+	serve(job: Job, limits: { cpus: number; cpus_max: number }): boolean {
+		const { spec } = job;
+		const urgent = job.rank < 2;
+		// Its own team's limit comes first: lower work of the same team makes room.
+		if (urgent && this.used(spec.team, spec.cpus) > limits.cpus_max + slack) {
+			const own = this.ownVictims(job);
+			while (this.used(spec.team, spec.cpus) > limits.cpus_max + slack) {
+				const next = own.pop();
+				if (!next) break;
+				if (!this.victims.has(next)) this.take(next);
+			}
+		}
+		if (this.used(spec.team, spec.cpus) > limits.cpus_max + slack) return false;
+		const withinGuarantee = this.used(spec.team, spec.cpus) <= limits.cpus + slack;
+		for (const machine of this.roomy) {
+			if (!machineAllowed(spec, machine) || !enough(this.roomOn(machine, job))) continue;
+			this.add(machine, job, -1);
+			return true;
+		}
+		if (!urgent && !withinGuarantee) return false;
+		const kind = JSON.stringify([spec.team, job.rank, withinGuarantee, spec.cpus, spec.memoryGb, spec.gpus]);
+		// Demands for types, zones and kinds are rare, so such jobs are searched for each by itself.
+		const free = spec.types === null && spec.zone === null && spec.spot;
+		if (free && this.hopeless.has(kind)) return false;
+		const plan = this.cheapestPlan(job, withinGuarantee);
+		if (!plan) {
+			if (free) this.hopeless.add(kind);
+			return false;
+		}
+		for (const attempt of plan.attempts) this.take(attempt);
+		this.add(plan.machine, job, -1);
+		return true;
+	}
+
+	private eligible(a: Attempt, job: Job, withinGuarantee: boolean): boolean {
+		if (this.victims.has(a)) return false;
+		const urgent = job.rank < 2;
+		const other = a.job.spec.team;
+		if (other === job.spec.team) return urgent && a.job.rank > job.rank;
+		// Placing serves guarantees before borrowing. Taking a guaranteed place for borrowed
+		// work would only have it taken back, each time at the cost of what had run.
+		const borrowed = beyondGuarantee(
+			this.tables,
+			other,
+			(this.freed.get(other) ?? 0) + a.job.spec.cpus - slack * 2,
+		);
+		if (urgent && a.job.rank > job.rank) return withinGuarantee || borrowed;
+		return withinGuarantee && borrowed && a.job.rank >= job.rank;
+	}
+
+	/** What may be stopped on the machine at all, what costs least first. */
+	private candidates(machine: Machine): Attempt[] {
+		let list = this.cheapest.get(machine);
+		if (!list) {
+			list = [...machine.attempts.values()]
+				.filter((a) => stoppable(a) && young(a, this.now))
+				.sort((a, b) => costOfStopping(a, this.now) - costOfStopping(b, this.now));
+			this.cheapest.set(machine, list);
+		}
+		return list;
+	}
+
+	private cheapestPlan(job: Job, withinGuarantee: boolean): { machine: Machine; attempts: Attempt[] } | null {
+		let best: { machine: Machine; attempts: Attempt[]; cost: number } | null = null;
+		for (const machine of this.looked) {
+			if (!machineAllowed(job.spec, machine)) continue;
+			const room = this.roomOn(machine, job);
+			const attempts: Attempt[] = [];
+			let cost = 0;
+			for (const a of this.candidates(machine)) {
+				if (enough(room) || (best !== null && cost >= best.cost)) break;
+				if (!this.eligible(a, job, withinGuarantee)) continue;
+				attempts.push(a);
+				cost += costOfStopping(a, this.now);
+				room.cpus += a.job.spec.cpus;
+				room.memory += a.job.spec.memoryGb;
+				room.gpus += a.job.spec.gpus;
+			}
+			if (enough(room) && (best === null || cost < best.cost)) best = { machine, attempts, cost };
+		}
+		return best;
+	}
+
+	/** Lower work of the job's own team, what costs least last. */
+	private ownVictims(job: Job): Attempt[] {
+		const key = `${job.rank}/${job.spec.team}`;
+		let own = this.own.get(key);
+		if (!own) {
+			own = [];
+			for (const other of this.tables.jobs.values()) {
+				if (other.spec.team !== job.spec.team || other.rank <= job.rank) continue;
+				for (const a of other.attempts.values()) if (stoppable(a) && young(a, this.now)) own.push(a);
+			}
+			own.sort((a, b) => costOfStopping(b, this.now) - costOfStopping(a, this.now));
+			this.own.set(key, own);
+		}
+		return own;
+	}
+}
+
+function enough(room: Amount): boolean {
+	return room.cpus >= -slack && room.memory >= -slack && room.gpus >= -slack;
+}
+
+export function chooseVictims(
+	tables: Tables,
+	waiting: Job[],
+	now: number,
+	sample: (machines: Machine[], most: number) => Machine[] = (machines) => machines,
+): Attempt[] {
+	const pass = new Pass(tables, now, (machines) => sample(machines, planSample));
 	const soonFree = placesSoonFree(tables);
 	for (const job of waiting) {
+		if (pass.victims.size >= mostPerPass * 3) break;
 		const { spec } = job;
 		const limits = tables.quotas.team(spec.team);
 		if (!limits) continue;
-		const urgent = job.rank < 2;
 		// A team at its limit gets only the places that it frees itself.
 		const atLimit = !tables.quotas.fitsLimit(spec.team, spec.cpus, spec.gpus);
 		const own = soonFree.byTeam.get(spec.team) ?? 0;
@@ -109,81 +254,7 @@
 		soonFree.all -= served;
 		if (atLimit) soonFree.byTeam.set(spec.team, own - served);
 		let left = Math.min(job.waiting.length - served, mostPerPass);
-		while (left > 0 && victims.length < mostPerPass * 3) {
-			left -= 1;
-			const used = () => tables.quotas.use(spec.team).cpus - (freed.get(spec.team) ?? 0) + spec.cpus;
-			// Its own team's limit comes first: lower work of the same team makes room.
-			if (urgent) {
-				const own = ownVictims(tables, job, now).filter((a) => !victims.includes(a));
-				while (used() > limits.cpus_max + slack) {
-					const next = own.shift();
-					if (!next) break;
-					take(next);
-				}
-			}
-			if (used() > limits.cpus_max + slack) break;
-			const withinGuarantee = used() <= limits.cpus + slack;
-			const open = [...tables.machines.values()].filter(
-				(m) => m.open && !m.suspect && machineAllowed(spec, m),
-			);
-			const fitting = open.find((m) => enough(roomOn(m, job)));
-			if (fitting) {
-				promise(fitting, job);
-				freed.set(spec.team, (freed.get(spec.team) ?? 0) - spec.cpus);
-				continue;
-			}
-			if (!urgent && !withinGuarantee) break;
-			const plan = cheapestPlan(open, job, now, (a) => {
-				if (victims.includes(a) || !stoppable(a) || !young(a, now)) return false;
-				const other = a.job.spec.team;
-				if (other === spec.team) return urgent && a.job.rank > job.rank;
-				// Placing serves guarantees before borrowing. Taking a guaranteed place for borrowed
-				// work would only have it taken back, each time at the cost of what had run.
-				const borrowed = beyondGuarantee(
-					tables,
-					other,
-					(freed.get(other) ?? 0) + a.job.spec.cpus - slack * 2,
-				);
-				if (urgent && a.job.rank > job.rank) return withinGuarantee || borrowed;
-				return withinGuarantee && borrowed && a.job.rank >= job.rank;
-			});
-			if (!plan) break;
-			for (const attempt of plan.attempts) take(attempt);
-			promise(plan.machine, job);
-			freed.set(spec.team, (freed.get(spec.team) ?? 0) - spec.cpus);
-		}
-
-		function cheapestPlan(open: Machine[], wanting: Job, at: number, eligible: (a: Attempt) => boolean) {
-			let best: { machine: Machine; attempts: Attempt[]; cost: number } | null = null;
-			for (const machine of open) {
-				const room = roomOn(machine, wanting);
-				const attempts: Attempt[] = [];
-				let cost = 0;
-				const candidates = [...machine.attempts.values()]
-					.filter(eligible)
-					.sort((a, b) => costOfStopping(a, at) - costOfStopping(b, at));
-				for (const a of candidates) {
-					if (enough(room)) break;
-					attempts.push(a);
-					cost += costOfStopping(a, at);
-					room.cpus += a.job.spec.cpus;
-					room.memory += a.job.spec.memoryGb;
-					room.gpus += a.job.spec.gpus;
-				}
-				if (enough(room) && (best === null || cost < best.cost)) best = { machine, attempts, cost };
-			}
-			return best;
-		}
-	}
-	return victims;
-}
-
-/** Lower work of the job's own team, what costs least first. */
-function ownVictims(tables: Tables, job: Job, now: number): Attempt[] {
-	const own: Attempt[] = [];
-	for (const other of tables.jobs.values()) {
-		if (other.spec.team !== job.spec.team || other.rank <= job.rank) continue;
-		for (const a of other.attempts.values()) if (stoppable(a) && young(a, now)) own.push(a);
+		while (left > 0 && pass.victims.size < mostPerPass * 3 && pass.serve(job, limits)) left -= 1;
 	}
-	return own.sort((a, b) => costOfStopping(a, now) - costOfStopping(b, now));
+	return [...pass.victims];
 }
