A job whose last tasks ended while nobody led is ended by the next leader

Cause: what a new leader learns of tasks that ended under attempts of an earlier one was counted, but the job's end was written only when one of its own attempts ended. A job whose last tasks all ended between two leaders stayed as it was until the next takeover read a full done-set. Ruled out: the write of the end itself, which was never tried. The test fails without the set of jobs found.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -327,6 +327,8 @@
 		machine.onlyListed = false;
 		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
 		for (const outcome of applied.outcomes) this.settle(outcome, now);
+		// The last tasks of a job may have ended while nobody led: no attempt of this leader ends it.
+		for (const job of applied.found) this.finishIfDone(job);
 		for (const attempt of applied.vanished) {
 			ports.log.info({ machine: machine.id, job: attempt.job.id, task: attempt.index }, "task vanished");
 		}
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -10,7 +10,15 @@
 }
 
 export type Applied =
-	| { kind: "applied"; machine: Machine; outcomes: Outcome[]; vanished: Attempt[]; isNew: boolean }
+	| {
+			kind: "applied";
+			machine: Machine;
+			outcomes: Outcome[];
+			/** Jobs with tasks that ended under attempts of an earlier leader. */
+			found: Set<Job>;
+			vanished: Attempt[];
+			isNew: boolean;
+	  }
 	/** Older than the newest seen: changes nothing. */
 	| { kind: "old" }
 	/** Of a lease that has expired: must not be answered in a way that renews it. */
@@ -65,6 +73,7 @@
 	}
 
 	const outcomes: Outcome[] = [];
+	const found = new Set<Job>();
 	const listed = new Set<string>();
 	let startSeen = false;
 	machine.exited = [];
@@ -84,7 +93,10 @@
 		} else if (task.state === "exited") {
 			exited(tables, machine, task);
 			const job = tables.jobs.get(task.job);
-			if (task.cause === "done" && job && task.index < job.spec.tasks) foundDone(tables, job, task.index);
+			if (task.cause === "done" && job && task.index < job.spec.tasks) {
+				foundDone(tables, job, task.index);
+				found.add(job);
+			}
 		} else if (adoptOrRefuse(tables, machine, task, now)) listed.add(taskKey(task.job, task.index));
 	}
 
@@ -114,7 +126,7 @@
 		tables.over(attempt);
 		vanished.push(attempt);
 	}
-	return { kind: "applied", machine, outcomes, vanished, isNew };
+	return { kind: "applied", machine, outcomes, found, vanished, isNew };
 }
 
 /** Answers in a row without effect after which nothing more is sent to a machine: one may get lost. */
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -147,6 +147,15 @@
 	assert.deepEqual(ordersFor(tables, machine), [forget]);
 });
 
+test("tasks that ended under an earlier leader are counted, and their job is named so that it can end", () => {
+	const { tables, job } = fresh();
+	const ended = Array.from({ length: job.spec.tasks }, (_, i) => task(i, 7, "exited", "done"));
+	const applied = applyReport(tables, report(1, ended), 0);
+	assert.ok(applied.kind === "applied");
+	assert.ok(job.done.full);
+	assert.deepEqual([...applied.found], [job]);
+});
+
 test("tasks nobody wants are stopped: of unknown jobs, done already, or on another machine", () => {
 	const { tables, job } = withOneSent();
 	tables.markDone(job, 1);
