Every controller receives reports where they would take most of the leader's share

Now followers receive reports and pass them on in batches; a takeover finds most workers where they can stay, and what waits at a relay goes to the new leader at once. Small fleets go on as before: it depends on reports a second per core.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -28,6 +28,8 @@
 	rentedAt: number;
 	reportedAt = -Infinity;
 	answeredAt: number;
+	/** Steady time at which it was last told to report to another controller. */
+	sentAwayAt = -Infinity;
 	/** Marked by the hill climb to drain and go back. */
 	marked = false;
 	/** Set aside as faulty, sick or slow. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -4,7 +4,7 @@
 import { Replica } from "../bookkeeping/replica.js";
 import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
 import type { OperatorSettings } from "../protocol/operator.js";
-import { asPeerMessage } from "../protocol/peer.js";
+import { asPeerMessage, type PeerMessage, unpackReport } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import { JobService } from "./job-service.js";
 import { Leader, strayMs, tickMs } from "./leader.js";
@@ -13,6 +13,7 @@
 import { Mailbox } from "./mailbox.js";
 import { placeFirstFit } from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import { AnswerBatches, Relay } from "./relay.js";
 
 export interface ControllerPorts {
 	store: StorePort;
@@ -54,7 +55,9 @@
 	private othersServedAt = -Infinity;
 	/** Machines that reported here lately, and when. */
 	private readonly strays = new Map<string, number>();
-	private leaderHeard = { node: "", epoch: 0, at: -Infinity, hearing: true };
+	private leaderHeard = { node: "", epoch: 0, at: -Infinity, hearing: true, relay: false };
+	private readonly relay: Relay;
+	private readonly answers: AnswerBatches;
 	private strayTold = -Infinity;
 
 	constructor(
@@ -72,6 +75,8 @@
 		);
 		const post = (command: () => void) => this.mailbox.post(command);
 		this.copy = new LocalCopy(this.replica, store, time, post, log);
+		this.relay = new Relay(ports.peers, time);
+		this.answers = new AnswerBatches(ports.peers, time);
 		this.leadership = new Leadership(
 			platform.node,
 			incarnation,
@@ -146,6 +151,7 @@
 		this.leadership.tick(this.replica.leader, this.replica.loaded);
 		if (this.leadership.authority() !== null) this.refreshTypes();
 		this.leader?.tick();
+		this.relay.tick();
 	}
 
 	// --- leadership ---
@@ -169,6 +175,7 @@
 				this.mailbox.post(() => {
 					if (this.starting !== epoch || this.leadership.epoch !== epoch) return;
 					this.starting = null;
+					this.leaderHeard = { node: this.platform.node, epoch, at: -Infinity, hearing: true, relay: false };
 					this.leader = new Leader(
 						epoch,
 						this.platform.node,
@@ -182,6 +189,7 @@
 						(why) => this.leadership.resign(why),
 						`${this.platform.node}-${this.incarnation}-${epoch}`,
 					);
+					this.relay.newLeader(this.platform.node, epoch);
 				}),
 			() => this.ports.time.after(100, () => this.mailbox.post(() => this.beginTerm(epoch))),
 		);
@@ -239,12 +247,13 @@
 		return this.mailbox.ask(async () => {
 			const epoch = this.leadership.authority();
 			if (epoch !== null && this.leader) {
-				const orders = await this.leader.report(report);
-				// Authority may have ended while the answer waited for places to be filled.
-				if (orders !== null && this.leadership.authority() === epoch)
-					return { kind: "orders", token: epoch, orders };
-				return { kind: "elsewhere", node: null };
+				const relay = this.leader.relayFor(report.machine);
+				if (relay !== null) return { kind: "elsewhere", node: relay };
+				const orders = await this.answerTo(this.leader, epoch, report);
+				return orders ? { kind: "orders", token: epoch, orders } : { kind: "elsewhere", node: null };
 			}
+			const passedOn = this.passOn(report);
+			if (passedOn) return passedOn;
 			const now = this.ports.time.now();
 			this.strays.set(report.machine, now);
 			const { node, hearing } = this.leaderHeard;
@@ -260,6 +269,39 @@
 		});
 	}
 
+	/** null: this node may not answer. */
+	private async answerTo(leader: Leader, epoch: number, report: WorkerReport): Promise<Order[] | null> {
+		const orders = await leader.report(report);
+		// Authority may have ended while the answer waited for places to be filled.
+		return this.leadership.authority() === epoch ? orders : null;
+	}
+
+	/** Where the leader wants reports passed on, the worker need not know who leads. */
+	private passOn(report: WorkerReport): Promise<Reported> | null {
+		const { epoch, at, relay } = this.leaderHeard;
+		if (!relay || report.token > epoch || this.ports.time.now() - at > leaderSilentMs) return null;
+		const taken = this.relay.take(report);
+		if (!taken) return null;
+		return taken.then((orders) => {
+			if (orders) return { kind: "orders", token: epoch, orders };
+			// The leader has changed while the worker waits: this is still its latest report.
+			return this.leaderHeard.epoch > epoch ? this.report(report) : { kind: "elsewhere", node: null };
+		});
+	}
+
+	private relayed(from: string, message: Extract<PeerMessage, { kind: "reports" }>): void {
+		const { epoch } = message;
+		const { leader } = this;
+		const leading = leader !== null && this.leadership.authority() === epoch;
+		for (const [number, packed] of message.reports) {
+			if (!leading) this.answers.add(from, epoch, number, null);
+			else
+				this.answerTo(leader, epoch, unpackReport(packed)).then((orders) =>
+					this.answers.add(from, epoch, number, orders),
+				);
+		}
+	}
+
 	private countStrays(): number {
 		const from = this.ports.time.now() - strayMs;
 		for (const [machine, at] of this.strays) if (at < from) this.strays.delete(machine);
@@ -283,9 +325,12 @@
 		if (!message) return;
 		this.mailbox.post(() => {
 			this.peerHeardAt = this.ports.time.now();
-			if (message.kind === "running" || message.kind === "view") {
-				const hearing = message.kind === "running" ? message.hearing : this.leaderHeard.hearing;
-				this.leaderHeard = { node: from, epoch: message.epoch, at: this.peerHeardAt, hearing };
+			// A late copy from an earlier leader tells nothing of now.
+			const ofLeader = message.kind === "running" || message.kind === "view";
+			if (ofLeader && message.epoch >= this.leaderHeard.epoch) {
+				if (message.epoch > this.leaderHeard.epoch) this.relay.newLeader(from, message.epoch);
+				const { hearing, relay } = message.kind === "running" ? message : this.leaderHeard;
+				this.leaderHeard = { node: from, epoch: message.epoch, at: this.peerHeardAt, hearing, relay };
 			}
 			switch (message.kind) {
 				case "view": {
@@ -311,6 +356,12 @@
 					this.running = new Map(message.counts);
 					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch, strays: this.countStrays() });
 					break;
+				case "reports":
+					this.relayed(from, message);
+					break;
+				case "answers":
+					this.relay.answered(from, message.epoch, message.answers);
+					break;
 				case "ask":
 				case "promise":
 				case "who":
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -64,6 +64,10 @@
  * 4 s for an answer and a second before the next.
  */
 export const strayMs = 6000;
+/** A machine that does not stay with its relay is left alone for this long. */
+const sentAwayMs = 60_000;
+/** A relay answers twice a second. */
+const relaySilentMs = 1200;
 /** So long after a takeover workers still come from elsewhere. */
 const settleMs = 8000;
 /** How often `tick` is called. */
@@ -99,6 +103,8 @@
 	private apart = 0;
 	/** Machines that turned to other controllers, by controller. */
 	private readonly strays = new Map<string, { at: number; count: number }>();
+	/** Whether the other controllers receive reports and pass them on. */
+	private relaying = false;
 	private readonly leaseMs: number;
 	private readonly ledger: SharedRecords<MachineRecord>;
 	private readonly progress: SharedRecords<string>;
@@ -290,6 +296,32 @@
 		});
 	}
 
+	/**
+	 * The controller that receives the machine's reports, or null for this one. Where so many
+	 * come that receiving them would take most of this process's share, the others do it. One
+	 * that comes back after it was sent away does not reach its relay and stays for a while.
+	 */
+	relayFor(id: string): string | null {
+		if (!this.relaying || !this.tables.rebuilt) return null;
+		const machine = this.tables.machines.get(id);
+		const now = this.ports.time.now();
+		if (!machine || now - machine.sentAwayAt < sentAwayMs) return null;
+		const relays: string[] = [];
+		for (const [node, { at }] of this.strays) if (now - at < relaySilentMs) relays.push(node);
+		const relay = placerOf(id, relays);
+		if (relay !== null) machine.sentAwayAt = now;
+		return relay;
+	}
+
+	/** Reports come at least so often; with half as many, relaying ends again. */
+	private considerRelaying(): void {
+		const { workers, resources } = this.platform.cluster;
+		const perCore = this.settings.reports.relay_per_core;
+		const rate = this.tables.machines.size / workers.report_s / (resources.cores ?? 1);
+		if (perCore > 0 && rate >= perCore) this.relaying = true;
+		else if (rate < perCore / 2) this.relaying = false;
+	}
+
 	private answer(machine: Machine): Order[] | null {
 		if (!this.active) return null;
 		machine.answeredAt = this.ports.time.now();
@@ -616,8 +648,16 @@
 		}
 		const ears = this.hearing(now);
 		const hearing = ears.heard >= ears.up / 2;
+		this.considerRelaying();
 		for (const other of this.platform.others) {
-			this.send(other.node, { kind: "running", epoch: this.epoch, counts, served: this.served(), hearing });
+			this.send(other.node, {
+				kind: "running",
+				epoch: this.epoch,
+				counts,
+				served: this.served(),
+				hearing,
+				relay: this.relaying,
+			});
 		}
 		this.apart = ears.up >= 2 && !hearing ? this.apart + 1 : 0;
 		this.stepAside(now, ears);
--- /dev/null
+++ b/src/coordination/relay.ts
@@ -0,0 +1,115 @@
+import type { Order, WorkerReport } from "../protocol/model.js";
+import { type PackedReport, packReport } from "../protocol/peer.js";
+import type { PeerPort, TimePort } from "./ports.js";
+
+/** Reports, and answers, of this long pass between controllers as one message. */
+const gatherRelayedMs = 20;
+/** A worker waits 4 s for its answer; one that has not come from the leader by then is given up. */
+const waitMs = 3000;
+/** After that, the link is taken to be broken for this long. */
+const pauseMs = 3000;
+
+interface Pending {
+	sentAt: number;
+	resolve(orders: Order[] | null): void;
+}
+
+/**
+ * Receives workers' reports in the leader's stead and passes them on. It decides nothing
+ * and keeps nothing: the leader answers each report, and its answer goes to the worker
+ * with the leader's token. To the worker and to the leader it is a slower network.
+ */
+export class Relay {
+	private leader = "";
+	private epoch = 0;
+	private count = 0;
+	private pausedUntil = -Infinity;
+	private batch: [number, PackedReport][] = [];
+	private readonly pending = new Map<number, Pending>();
+
+	constructor(
+		private readonly peers: PeerPort,
+		private readonly time: TimePort,
+	) {}
+
+	/** Whoever waits for an answer of the one before is given up, to be passed on anew. */
+	newLeader(leader: string, epoch: number): void {
+		this.leader = leader;
+		this.epoch = epoch;
+		this.pausedUntil = -Infinity;
+		this.batch = [];
+		this.giveUp(Number.POSITIVE_INFINITY);
+	}
+
+	/** null: reports cannot be passed on for now. Otherwise the leader's orders, or null if it may not answer. */
+	take(report: WorkerReport): Promise<Order[] | null> | null {
+		const now = this.time.now();
+		if (now < this.pausedUntil) return null;
+		this.count += 1;
+		const number = this.count;
+		if (this.batch.length === 0) this.time.after(gatherRelayedMs, () => this.flush());
+		this.batch.push([number, packReport(report)]);
+		return new Promise((resolve) => this.pending.set(number, { sentAt: now, resolve }));
+	}
+
+	private flush(): void {
+		const reports = this.batch;
+		this.batch = [];
+		if (reports.length > 0) this.peers.send(this.leader, { kind: "reports", epoch: this.epoch, reports });
+	}
+
+	answered(from: string, epoch: number, answers: [number, Order[] | null][]): void {
+		if (from !== this.leader || epoch !== this.epoch) return;
+		for (const [number, orders] of answers) {
+			this.pending.get(number)?.resolve(orders);
+			this.pending.delete(number);
+		}
+	}
+
+	/** Called often. */
+	tick(): void {
+		if (this.pending.size === 0) return;
+		const now = this.time.now();
+		if (this.giveUp(now - waitMs)) this.pausedUntil = now + pauseMs;
+	}
+
+	/** The oldest are first in the map. */
+	private giveUp(sentBefore: number): boolean {
+		let any = false;
+		for (const [number, { sentAt, resolve }] of this.pending) {
+			if (sentAt > sentBefore) break;
+			any = true;
+			this.pending.delete(number);
+			resolve(null);
+		}
+		return any;
+	}
+}
+
+/** Answers of one moment to one relay go together. */
+export class AnswerBatches {
+	private readonly batches = new Map<string, { epoch: number; answers: [number, Order[] | null][] }>();
+
+	constructor(
+		private readonly peers: PeerPort,
+		private readonly time: TimePort,
+	) {}
+
+	add(to: string, epoch: number, number: number, orders: Order[] | null): void {
+		const batch = this.batches.get(to);
+		if (batch?.epoch === epoch) {
+			batch.answers.push([number, orders]);
+			return;
+		}
+		if (batch) this.send(to);
+		this.batches.set(to, { epoch, answers: [[number, orders]] });
+		this.time.after(gatherRelayedMs, () => this.send(to));
+	}
+
+	private send(to: string): void {
+		const batch = this.batches.get(to);
+		if (!batch) return;
+		this.batches.delete(to);
+		this.peers.send(to, { kind: "answers", ...batch });
+	}
+}
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -47,6 +47,16 @@
 		}),
 		{},
 	),
+	reports: v.optional(
+		v.strictObject({
+			/**
+			 * With more reports a second than this for each core of a controller's share, all
+			 * controllers receive them and pass them on to the leader; 0: never.
+			 */
+			relay_per_core: v.optional(amount, 500),
+		}),
+		{},
+	),
 	machines: v.optional(
 		v.strictObject({
 			/** Failures of different jobs after which a machine is set aside. */
@@ -74,6 +84,7 @@
 		climb: {},
 		leadership: {},
 		placing: {},
+		reports: {},
 		machines: {},
 		...source,
 	};
--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -38,6 +38,8 @@
 	/** Fails every task at once. */
 	sick = false;
 	recallAt: number | null = null;
+	/** While it hangs, what comes in and what falls due is done only when it goes on. */
+	private hung: (() => void)[] | null = null;
 
 	constructor(
 		readonly host: string,
@@ -51,8 +53,31 @@
 		this.step();
 	}
 
+	hang(): void {
+		this.hung ??= [];
+	}
+
+	goOn(): void {
+		const late = this.hung ?? [];
+		this.hung = null;
+		if (late.length > 0 && !this.dead) {
+			// Its lease is looked at before anything else is done.
+			if (this.time.now() - this.leaseFrom > this.world.leaseS * 1000) this.expire();
+			for (const run of late) run();
+		}
+	}
+
+	private awake(run: () => void): void {
+		if (this.hung) this.hung.push(run);
+		else run();
+	}
+
 	private step(): void {
 		if (this.dead) return;
+		if (this.hung) {
+			this.time.after(50, () => this.step());
+			return;
+		}
 		const now = this.time.now();
 		if (now - this.leaseFrom > this.world.leaseS * 1000) this.expire();
 		if (!this.inFlight && now >= this.nextAt) void this.report();
@@ -105,6 +130,7 @@
 		const node = this.world.nodes[this.node % this.world.nodes.length] as string;
 		const body = this.show();
 		const answer = this.cut ? await this.silence() : await this.world.send(this, node, body);
+		await new Promise<void>((resolve) => this.awake(resolve));
 		// Hearing nothing, it gives up after the time it waits for an answer.
 		const deaf = this.deaf;
 		if (deaf) await this.silence();
@@ -145,6 +171,11 @@
 		this.carryOut(body.orders as Record<string, unknown>[]);
 	}
 
+	/** Orders that come to a machine that hangs are carried out when it goes on. */
+	ordered(body: Record<string, unknown>): Promise<Answer> {
+		return new Promise((resolve) => this.awake(() => resolve(this.commands(body))));
+	}
+
 	/** POST /commands. */
 	commands(body: Record<string, unknown>): Answer {
 		if (typeof body.baton !== "number" || typeof body.shift !== "number") return { status: 400, body: {} };
@@ -187,7 +218,7 @@
 		}
 		this.world.started(this, piece);
 		if (this.sick) this.exit(key, "error");
-		else this.time.after(seconds * 1000, () => this.exit(key, "done"));
+		else this.time.after(seconds * 1000, () => this.awake(() => this.exit(key, "done")));
 	}
 
 	private exit(key: string, cause: string): void {
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,12 +1,12 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Controller } from "../../src/coordination/controller.js";
-import type { Log } from "../../src/coordination/ports.js";
+import type { Log, TimePort } from "../../src/coordination/ports.js";
 import { defaultOperator } from "../../src/protocol/operator.js";
 import { type PlatformSettings, parsePlatform } from "../../src/protocol/settings.js";
 import { elsewhereBody, ordersBody, parseReport } from "../../src/protocol/wire.js";
 import { CloudClient } from "../../src/transport/cloud-client.js";
 import { frontApp } from "../../src/transport/front-server.js";
-import type { Answer } from "../../src/transport/http-client.js";
+import type { Answer, HttpCaller } from "../../src/transport/http-client.js";
 import { FrameReader, frame } from "../../src/transport/peer-link.js";
 import { StoreClient } from "../../src/transport/store-client.js";
 import { WorkerClient } from "../../src/transport/worker-client.js";
@@ -51,12 +51,63 @@
 	id: string;
 	controller: Controller;
 	app: ReturnType<typeof frontApp>;
+	gate: Gate;
+}
+
+/**
+ * What a process does goes through here. While it stands still, its timers and all that
+ * comes in pile up, though its clocks run on; when it goes on, they come in their order.
+ */
+class Gate {
+	private held: (() => void)[] | null = null;
+
+	pass(run: () => void): void {
+		if (this.held) this.held.push(run);
+		else run();
+	}
+
+	freeze(): void {
+		this.held ??= [];
+	}
+
+	thaw(): void {
+		const held = this.held ?? [];
+		this.held = null;
+		for (const run of held) run();
+	}
+
+	settled<T>(answer: Promise<T>): Promise<T> {
+		return new Promise((resolve, reject) =>
+			answer.then(
+				(value) => this.pass(() => resolve(value)),
+				(error) => this.pass(() => reject(error)),
+			),
+		);
+	}
+
+	time(time: TimePort): TimePort {
+		return {
+			now: () => time.now(),
+			date: () => time.date(),
+			after: (ms, run) => time.after(ms, () => this.pass(run)),
+		};
+	}
+
+	caller(http: HttpCaller): HttpCaller {
+		return {
+			call: (method, path, body, deadlineMs) => this.settled(http.call(method, path, body, deadlineMs)),
+			close: () => http.close(),
+		};
+	}
 }
 
 const teams: Record<string, number> = { red: 8, blue: 8 };
 export const nodeNames = ["runner-0", "runner-1", "runner-2"];
 
-function settingsOf(node: string, nodes: string[]): PlatformSettings {
+/** With so small a share of a core any number of reports is many, and all controllers receive them. */
+const tinyShare = "[cluster.resources]\ncores = 0.0005\n";
+
+function settingsOf(node: string, nodes: string[], relayed: boolean): PlatformSettings {
 	const others = nodes
 		.filter((n) => n !== node)
 		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
@@ -87,7 +138,7 @@
 [cluster.cloud]
 rps = 5.0
 list_lag_s = 1.0
-`;
+${relayed ? tinyShare : ""}`;
 	return parsePlatform("test settings", text);
 }
 
@@ -115,6 +166,7 @@
 	constructor(
 		capacity = 4,
 		readonly nodes: string[] = nodeNames,
+		private readonly relayed = false,
 	) {
 		const type = (sku: string, cores: number, rate: number) => ({
 			sku,
@@ -159,7 +211,7 @@
 		if (this.processes.has(node)) return;
 		this.incarnation += 1;
 		const id = `${node}#${this.incarnation}`;
-		const settings = settingsOf(node, this.nodes);
+		const settings = settingsOf(node, this.nodes, this.relayed);
 		const note =
 			(level: string) =>
 			(fields: object, message: string): void => {
@@ -167,24 +219,29 @@
 					this.logs.push(`${this.time.now()} ${id} ${message} ${JSON.stringify(fields)}`);
 			};
 		const log: Log = { error: note("error"), info: note("info"), debug: note("debug") };
-		const store = this.network.caller(id, "state", (m, p, b) => this.state.handle(m, p, b, node));
+		const gate = new Gate();
+		const time = gate.time(this.time);
+		const store = gate.caller(
+			this.network.caller(id, "state", (m, p, b) => this.state.handle(m, p, b, node)),
+		);
 		const controller = new Controller(settings, defaultOperator(), `inc${this.incarnation}`, {
-			store: new StoreClient(store, this.time, 300, 60, this.nodes.length),
+			store: new StoreClient(store, time, 300, 60, this.nodes.length),
 			cloud: new CloudClient(
-				this.network.caller(id, "cloud", (m, p, b) => this.cloud.handle(m, p, b)),
-				this.time,
+				gate.caller(this.network.caller(id, "cloud", (m, p, b) => this.cloud.handle(m, p, b))),
+				time,
 				5,
 			),
 			workers: new WorkerClient((endpoint) => {
 				const host = endpoint.split(":")[0] as string;
-				return this.network.caller(id, host, (_m, _p, body) => {
+				const caller = this.network.caller(id, host, (_m, _p, body) => {
 					const worker = this.workers.get(host);
 					if (!worker || worker.dead || worker.cut || worker.deaf) return new Promise<Answer>(() => {});
-					return worker.commands(body as Record<string, unknown>);
+					return worker.ordered(body as Record<string, unknown>);
 				});
+				return gate.caller(caller);
 			}),
 			peers: { send: (to, message) => this.peer(id, node, to, message) },
-			time: this.time,
+			time,
 			log,
 			random: xoroshiro128plus(this.incarnation),
 			schedule: queueMicrotask,
@@ -199,7 +256,7 @@
 			},
 			log,
 		);
-		this.processes.set(node, { id, controller, app });
+		this.processes.set(node, { id, controller, app, gate });
 		controller.start();
 	}
 
@@ -212,6 +269,15 @@
 		this.processes.delete(node);
 	}
 
+	/** The process stands still; its clocks, and the world, go on. */
+	freeze(node: string): void {
+		this.processes.get(node)?.gate.freeze();
+	}
+
+	thaw(node: string): void {
+		this.processes.get(node)?.gate.thaw();
+	}
+
 	controllerOf(node: string): Controller {
 		const process = this.processes.get(node);
 		if (!process) throw new Error(`${node} is down`);
@@ -226,7 +292,9 @@
 		const bytes = frame(message);
 		this.time.after(2, () => {
 			if (this.network.isDown(fromId) || this.cutLinks.has(from) || this.cutLinks.has(to)) return;
-			for (const m of new FrameReader().push(bytes)) this.processes.get(to)?.controller.peerMessage(from, m);
+			const process = this.processes.get(to);
+			for (const m of new FrameReader().push(bytes))
+				process?.gate.pass(() => process.controller.peerMessage(from, m));
 		});
 	}
 
@@ -249,7 +317,7 @@
 		for (const seconds of this.copiesAfterS) {
 			this.time.after(seconds * 1000, () => {
 				const process = this.processes.get(node);
-				if (process) void process.controller.report(parseReport(sent));
+				process?.gate.pass(() => void process.controller.report(parseReport(sent)));
 			});
 		}
 		return new Promise<Answer | undefined>((resolve) => {
@@ -261,16 +329,17 @@
 			}
 			const fault = this.network.fault(worker.host, node, "POST", "/v1/report");
 			if (fault.cut) return;
-			this.time.after(2 + (fault.delayMs ?? 0), async () => {
+			this.time.after(2 + (fault.delayMs ?? 0), () => {
 				const now = this.processes.get(node);
-				if (!now) return;
-				const result = await now.controller.report(parseReport(sent));
-				if (fault.loseAnswer || this.network.isDown(now.id)) return;
-				const answer: Answer =
-					result.kind === "orders"
-						? { status: 200, body: ordersBody(result.token, result.orders) }
-						: { status: 421, body: elsewhereBody(result.node) };
-				this.time.after(2, () => resolve(JSON.parse(JSON.stringify(answer)) as Answer));
+				now?.gate.pass(async () => {
+					const result = await now.controller.report(parseReport(sent));
+					if (fault.loseAnswer || this.network.isDown(now.id)) return;
+					const answer: Answer =
+						result.kind === "orders"
+							? { status: 200, body: ordersBody(result.token, result.orders) }
+							: { status: 421, body: elsewhereBody(result.node) };
+					this.time.after(2, () => resolve(JSON.parse(JSON.stringify(answer)) as Answer));
+				});
 			});
 		});
 	}
@@ -368,8 +437,10 @@
 		const process = this.processes.get(node);
 		if (!process) return { status: 0, body: {} };
 		let answer: { status: number; body: UserAnswer } | null = null;
-		Promise.resolve(process.app.request(path, init)).then(async (response) => {
-			answer = { status: response.status, body: (await response.json()) as UserAnswer };
+		process.gate.pass(() => {
+			Promise.resolve(process.app.request(path, init)).then(async (response) => {
+				answer = { status: response.status, body: (await response.json()) as UserAnswer };
+			});
 		});
 		for (let waited = 0; answer === null && waited < 5000; waited += 10) await this.time.advance(10);
 		return answer ?? { status: 0, body: {} };
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -9,8 +9,18 @@
 	at: number;
 	submit?: JobBody & { node?: string };
 	abort?: string;
+	/** Where the cancellation is sent. */
+	node?: string;
 	crash?: string;
 	restart?: string;
+	/** Stands still, and goes on, while clocks run on. */
+	freeze?: string;
+	thaw?: string;
+	/** Machines hang, by a task on each, and go on. */
+	hang?: string[];
+	go_on?: boolean;
+	/** Reports, answers and direct orders of a zone's machines arrive so many seconds late. */
+	hold_zone?: { zone: string; late_s: number };
 	outage?: boolean;
 	refuse?: string;
 	serve?: string;
@@ -54,6 +64,8 @@
 	guards: string;
 	capacity?: number;
 	controllers?: number;
+	/** Played once more with reports received by all controllers. */
+	relayed?: boolean;
 	steps: Step[];
 }
 
@@ -62,14 +74,16 @@
 
 for (const file of readdirSync(folder).sort()) {
 	const trace = parse(readFileSync(new URL(file, folder), "utf8")) as Trace;
-	test(`${file}: ${trace.title}`, () => play(trace));
+	test(`${file}: ${trace.title}`, () => play(trace, false));
+	if (trace.relayed) test(`${file}, reports received by all controllers`, () => play(trace, true));
 }
 
-async function play(trace: Trace): Promise<void> {
+async function play(trace: Trace, relayed: boolean): Promise<void> {
 	const nodes = Array.from({ length: trace.controllers ?? 3 }, (_, i) => `runner-${i}`);
-	const world = new World(trace.capacity, nodes);
+	const world = new World(trace.capacity, nodes, relayed);
 	let checks = 0;
 	let cutFromWorkers: string[] = [];
+	const frozen: string[] = [];
 	const named = (who: string): string[] => {
 		if (who === "all") return nodes;
 		if (who === "others_of_cut") return nodes.filter((n) => !cutFromWorkers.includes(n));
@@ -77,6 +91,8 @@
 		if (who === "other") return nodes.filter((n) => !world.state.refused.has(n) && n !== world.leaderNode());
 		if (who === "two others") return nodes.filter((n) => n !== world.leaderNode()).slice(0, 2);
 		if (who === "leader") return [world.leaderNode() ?? "nobody"];
+		if (who === "not frozen") return nodes.filter((n) => !frozen.includes(n));
+		if (who === "one other") return nodes.filter((n) => n !== world.leaderNode()).slice(0, 1);
 		if (who === "others") return nodes.filter((n) => n !== world.leaderNode());
 		return [who];
 	};
@@ -88,7 +104,10 @@
 			const answer = await world.submit(named(node)[0] as string, job);
 			assert.equal(answer.status, 201, `${job.id}: ${JSON.stringify(answer.body)}`);
 		}
-		if (step.abort) assert.equal((await world.abort("runner-1", step.abort)).status, 200);
+		if (step.abort) {
+			const node = named(step.node ?? "runner-1")[0] as string;
+			assert.equal((await world.abort(node, step.abort)).status, 200);
+		}
 		for (const n of step.crash ? named(step.crash) : []) world.crash(n);
 		for (const n of step.restart ? named(step.restart) : []) world.start(n);
 		if (step.outage !== undefined) world.state.setOutage(step.outage);
@@ -96,6 +115,20 @@
 		for (const n of step.serve ? named(step.serve) : []) world.state.refused.delete(n);
 		for (const n of step.cut_peer ? named(step.cut_peer) : []) world.cutPeer(n, true);
 		for (const n of step.join_peer ? named(step.join_peer) : []) world.cutPeer(n, false);
+		for (const n of step.freeze ? named(step.freeze) : []) {
+			frozen.push(n);
+			world.freeze(n);
+		}
+		if (step.thaw) for (const n of frozen.splice(0)) world.thaw(n);
+		for (const piece of step.hang ?? []) world.workerOf(piece).hang();
+		if (step.go_on) for (const w of world.workers.values()) w.goOn();
+		if (step.hold_zone) {
+			const { zone, late_s } = step.hold_zone;
+			const until = world.time.now() + late_s * 1000;
+			const there = (host: string) => world.workers.get(host)?.hall === zone;
+			world.network.fault = (from, to) =>
+				there(from) || there(to) ? { delayMs: Math.max(0, until - world.time.now()) } : {};
+		}
 		if (step.cut) world.workerOf(step.cut).cut = true;
 		for (const w of world.workers.values()) if (w.hall === step.cut_zone) w.cut = true;
 		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = false;
