The leader's file parted: takeovers and the presence of others have files of their own

No change in what is done: probes and giving up unheard machines are in takeover.ts; live placers, hearing, stepping aside and relays in presence.ts.

--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -7,12 +7,13 @@
 import { asPeerMessage, type PeerMessage, unpackReport } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import { JobService } from "./job-service.js";
-import { Leader, strayMs, tickMs } from "./leader.js";
+import { Leader, tickMs } from "./leader.js";
 import { Leadership } from "./leadership.js";
 import { LocalCopy } from "./local-copy.js";
 import { Mailbox } from "./mailbox.js";
 import { placeFirstFit } from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import { strayMs } from "./presence.js";
 import { AnswerBatches, Relay } from "./relay.js";
 
 export interface ControllerPorts {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -16,9 +16,11 @@
 import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { chooseVictims } from "./preemption.js";
+import { Presence } from "./presence.js";
 import { applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
 import { SharedRecords } from "./shared-records.js";
 import { Tables } from "./tables.js";
+import { Takeover } from "./takeover.js";
 
 export interface LeaderPorts {
 	store: StorePort;
@@ -49,27 +51,12 @@
 const auditEveryMs = 10_000;
 const answerHoldMs = 150;
 const holdSweepMs = 30;
-/** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
-const probesPerTick = 12;
 /** With ticks later than this on the average, the process is short of processor time. */
 const busyMs = 40;
 /** A job that its placer does not know is placed by the leader for so long. */
 const placedHereMs = 5000;
-/** A machine not heard for this long after a takeover is given back. */
-const hiddenPatienceMs = 2000;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
-/**
- * A worker that cannot reach the leader tries another node about once in this time: it waits
- * 4 s for an answer and a second before the next.
- */
-export const strayMs = 6000;
-/** A machine that does not stay with its relay is left alone for this long. */
-const sentAwayMs = 60_000;
-/** A relay answers twice a second. */
-const relaySilentMs = 1200;
-/** So long after a takeover workers still come from elsewhere. */
-const settleMs = 8000;
 /** How often `tick` is called. */
 export const tickMs = 100;
 const preemptAfterMs = 700;
@@ -84,27 +71,21 @@
 	private cycle = 0;
 	private nextCycle = 0;
 	private readonly outstanding = new Map<string, Outstanding>();
-	private readonly heardFrom = new Map<string, number>();
 	private readonly held = new Map<string, HeldReport>();
 	private sweeping = false;
 	/** Machines with starts decided and not yet sent. */
 	private readonly assigned = new Set<Machine>();
 	/** Whether a task waits that may start, as found out in this batch; null: not looked yet. */
 	private waitingNow: boolean | null = null;
-	private probes: { machine: Machine; session: number; tries: number }[] = [];
+	private readonly presence: Presence;
+	private readonly takeover: Takeover;
 	private lateMs = 0;
 	private lastTick: number;
-	private nextPing = 0;
 	private readonly beganAt: number;
 	private rebuiltSaid = false;
 	private nextPreemption = 0;
 	private nextProgress = 0;
 	private nextAudit = 0;
-	private apart = 0;
-	/** Machines that turned to other controllers, by controller. */
-	private readonly strays = new Map<string, { at: number; count: number }>();
-	/** Whether the other controllers receive reports and pass them on. */
-	private relaying = false;
 	private readonly leaseMs: number;
 	private readonly ledger: SharedRecords<MachineRecord>;
 	private readonly progress: SharedRecords<string>;
@@ -118,7 +99,7 @@
 		types: MachineType[],
 		private readonly ports: LeaderPorts,
 		private readonly authority: () => boolean,
-		private readonly served: () => boolean,
+		served: () => boolean,
 		private readonly resign: (why: string) => void,
 		requestPrefix: string,
 	) {
@@ -139,6 +120,28 @@
 		);
 		this.beganAt = ports.time.now();
 		this.lastTick = this.beganAt;
+		this.presence = new Presence(
+			epoch,
+			this.beganAt,
+			platform,
+			settings,
+			this.tables,
+			ports.peers,
+			served,
+			resign,
+		);
+		this.takeover = new Takeover(
+			this.tables,
+			ports.workers,
+			this.beganAt,
+			{
+				post: ports.post,
+				active: () => this.active,
+				apply: (report) => this.apply(report),
+				unlisted: (id) => this.fleet.unlisted(id),
+			},
+			ports.log,
+		);
 		const shared = {
 			post: ports.post,
 			now: () => ports.time.now(),
@@ -192,11 +195,10 @@
 				const machine = this.newMachine(id, type, record.zone, record.spot, now);
 				machine.endpoint = record.endpoint;
 				machine.durable = true;
-				tables.hide(machine);
-				this.probes.push({ machine, session: record.session, tries: 3 });
+				this.takeover.hide(machine, record.session);
 			}
 		}
-		this.sendProbes();
+		this.takeover.sendProbes(false);
 		ports.log.info(
 			{ epoch: this.epoch, jobs: tables.jobs.size, machines: tables.machines.size },
 			"leading: rebuilding",
@@ -231,40 +233,6 @@
 		this.finishIfDone(job);
 	}
 
-	/**
-	 * Asks machines straight for their tasks. An empty list of orders carries the
-	 * token there, so that every answer of an earlier leader is dead from then on.
-	 */
-	private sendProbes(): void {
-		// Most workers come by themselves; whoever is late in that is asked all the same.
-		let left = this.lateMs > busyMs ? 2 : probesPerTick;
-		while (left > 0) {
-			const next = this.probes.shift();
-			if (!next) return;
-			if (!this.tables.hidden.has(next.machine) || next.machine.endpoint === "") continue;
-			left -= 1;
-			this.probe(next.machine, next.session, next.tries);
-		}
-	}
-
-	private probe(machine: Machine, session: number, tries: number): void {
-		if (!this.active) return;
-		this.ports.workers.command(machine.endpoint, this.epoch, session, []).then(
-			({ executed, report }) =>
-				this.ports.post(() => {
-					if (!this.tables.hidden.has(machine) || this.ended) return;
-					if (executed && report.machine === machine.id) this.apply(report);
-					else if (report.token <= this.epoch && tries > 1) {
-						this.probes.unshift({ machine, session: report.session, tries: tries - 1 });
-					}
-				}),
-			() =>
-				this.ports.post(() => {
-					if (tries > 1 && !this.ended) this.probes.push({ machine, session, tries: tries - 1 });
-				}),
-		);
-	}
-
 	// --- reports ---
 
 	/** null: this process may not answer for the controllers. */
@@ -296,30 +264,9 @@
 		});
 	}
 
-	/**
-	 * The controller that receives the machine's reports, or null for this one. Where so many
-	 * come that receiving them would take most of this process's share, the others do it. One
-	 * that comes back after it was sent away does not reach its relay and stays for a while.
-	 */
+	/** Who receives the machine's reports: another controller, or null for this one. */
 	relayFor(id: string): string | null {
-		if (!this.relaying || !this.tables.rebuilt) return null;
-		const machine = this.tables.machines.get(id);
-		const now = this.ports.time.now();
-		if (!machine || now - machine.sentAwayAt < sentAwayMs) return null;
-		const relays: string[] = [];
-		for (const [node, { at }] of this.strays) if (now - at < relaySilentMs) relays.push(node);
-		const relay = placerOf(id, relays);
-		if (relay !== null) machine.sentAwayAt = now;
-		return relay;
-	}
-
-	/** Reports come at least so often; with half as many, relaying ends again. */
-	private considerRelaying(): void {
-		const { workers, resources } = this.platform.cluster;
-		const perCore = this.settings.reports.relay_per_core;
-		const rate = this.tables.machines.size / workers.report_s / (resources.cores ?? 1);
-		if (perCore > 0 && rate >= perCore) this.relaying = true;
-		else if (rate < perCore / 2) this.relaying = false;
+		return this.presence.relayFor(id, this.ports.time.now());
 	}
 
 	private answer(machine: Machine): Order[] | null {
@@ -572,7 +519,7 @@
 		const now = this.ports.time.now();
 		this.lateMs += 0.2 * (now - this.lastTick - tickMs - this.lateMs);
 		this.lastTick = now;
-		this.sendProbes();
+		this.takeover.tick(now, this.lateMs > busyMs);
 		this.sweep(now);
 		this.fleet.tick();
 		this.ledger.flush();
@@ -580,7 +527,7 @@
 			this.nextProgress = now + progressEveryMs;
 			this.writeProgress();
 		}
-		this.pings(now);
+		this.presence.tick(now, () => this.runningCounts());
 		this.audit(now);
 		if (this.anyWaiting(now)) this.tables.changed = true;
 		this.preempt(now);
@@ -588,31 +535,7 @@
 		if (this.tables.exhausted) this.resign("attempt numbers used up");
 	}
 
-	/**
-	 * A machine that neither reports to a new leader nor answers it holds up every
-	 * start until its lease is over. Given back, it is proved gone at once. Not so
-	 * when many are silent: then the fault is more likely on this side. Hundreds take
-	 * a while to be heard, so it is looked at again until few are left.
-	 */
-	private giveUpHidden(now: number): void {
-		const { hidden, machines } = this.tables;
-		const waitedMs = now - this.beganAt;
-		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
-		// The fewer are left, the sooner waiting for them costs more than they do.
-		const share = Math.min(1 / 5, 0.01 * 2 ** ((waitedMs - hiddenPatienceMs) / 1000));
-		// What the cloud does not list was returned or taken while its record could not be dropped.
-		// This is no proof, since a list may be late; its return is.
-		const here = [...hidden].filter((m) => !this.fleet.unlisted(m.id));
-		const few = here.length <= Math.max(2, machines.size * share);
-		for (const machine of hidden) {
-			if (machine.returning || !(few || this.fleet.unlisted(machine.id))) continue;
-			machine.returning = true;
-			this.ports.log.info({ machine: machine.id }, "not heard since the takeover: returning");
-		}
-	}
-
 	private sweep(now: number): void {
-		this.giveUpHidden(now);
 		if (!this.rebuiltSaid && this.tables.rebuilt) {
 			this.rebuiltSaid = true;
 			this.ports.log.info(
@@ -639,28 +562,13 @@
 		}
 	}
 
-	private pings(now: number): void {
-		if (now < this.nextPing) return;
-		this.nextPing = now + 500;
+	/** Tasks running by job, for users to see at any node. */
+	private runningCounts(): [string, number][] {
 		const counts: [string, number][] = [];
 		for (const job of this.tables.jobs.values()) {
 			if (job.attempts.size > 0) counts.push([job.id, runningOf(job)]);
 		}
-		const ears = this.hearing(now);
-		const hearing = ears.heard >= ears.up / 2;
-		this.considerRelaying();
-		for (const other of this.platform.others) {
-			this.send(other.node, {
-				kind: "running",
-				epoch: this.epoch,
-				counts,
-				served: this.served(),
-				hearing,
-				relay: this.relaying,
-			});
-		}
-		this.apart = ears.up >= 2 && !hearing ? this.apart + 1 : 0;
-		this.stepAside(now, ears);
+		return counts;
 	}
 
 	runningCount(id: string): number {
@@ -672,33 +580,6 @@
 		this.ports.peers.send(node, message);
 	}
 
-	/** Machines that are up, and those of them that this node hears. */
-	private hearing(now: number): { up: number; heard: number } {
-		const since = now - (2500 * this.platform.cluster.workers.report_s + 500);
-		let up = 0;
-		let heard = 0;
-		for (const machine of this.tables.machines.values()) {
-			if (!machine.up) continue;
-			up += 1;
-			if (machine.reportedAt > since && machine.deafAt === null) heard += 1;
-		}
-		return { up, heard };
-	}
-
-	/**
-	 * A leader may keep the store and the other controllers and lose the workers. Then it
-	 * stands in the way: the workers turn to the others, who can only send them back. If
-	 * the others hear more machines than this node does, one of them had better lead.
-	 */
-	private stepAside(now: number, { up, heard }: { up: number; heard: number }): void {
-		if (now - this.beganAt < settleMs) return;
-		let strays = 0;
-		for (const { at, count } of this.strays.values()) if (now - at < 2000) strays = Math.max(strays, count);
-		if (this.apart >= 2 && strays > heard && strays >= up / 10) {
-			this.resign(`the workers do not reach this node: ${heard} of ${up} heard`);
-		}
-	}
-
 	/** Stops tasks for waiting ones of more right, after a moment in which room may come by itself. */
 	private preempt(now: number): void {
 		if (now < this.nextPreemption || !this.tables.rebuilt) return;
@@ -783,21 +664,12 @@
 		this.assigned.clear();
 	}
 
-	private livePlacers(now: number): string[] {
-		const live = [this.self];
-		for (const other of this.platform.others) {
-			const heard = this.heardFrom.get(other.node) ?? -Infinity;
-			if (now - heard <= this.settings.placing.silent_s * 1000 + 500) live.push(other.node);
-		}
-		return live;
-	}
-
 	private place(now: number): void {
 		const silentMs = this.settings.placing.silent_s * 1000;
 		for (const [node, o] of this.outstanding) {
 			if (now - o.sentAt > silentMs) {
 				this.outstanding.delete(node);
-				this.heardFrom.delete(node);
+				this.presence.silent(node);
 			}
 		}
 		// Cheap cores fill first, so that dear machines are the ones to run empty and go back.
@@ -808,7 +680,7 @@
 			.map(viewOf);
 		const grants = this.grants(views, now);
 		if (grants.length === 0) return;
-		const live = this.livePlacers(now);
+		const live = this.presence.livePlacers(now);
 		const shares = new Map<string, Grant[]>();
 		for (const { grant, team } of grants) {
 			const here = (this.tables.jobs.get(grant.job)?.placedHereUntil ?? 0) > now;
@@ -852,11 +724,8 @@
 	peerMessage(from: string, message: PeerMessage): void {
 		if (this.ended || message.epoch !== this.epoch) return;
 		const now = this.ports.time.now();
-		this.heardFrom.set(from, now);
-		if (message.kind === "pong") {
-			this.strays.set(from, { at: now, count: message.strays });
-			if (this.apart > 0) this.stepAside(now, this.hearing(now));
-		}
+		this.presence.heard(from, now);
+		if (message.kind === "pong") this.presence.answered(from, message.strays, now);
 		if (message.kind !== "placed") return;
 		const asked = this.outstanding.get(from);
 		if (!asked || asked.cycle !== message.cycle) return;
--- /dev/null
+++ b/src/coordination/presence.ts
@@ -0,0 +1,131 @@
+import type { OperatorSettings } from "../protocol/operator.js";
+import type { PlatformSettings } from "../protocol/settings.js";
+import { placerOf } from "./parting.js";
+import type { PeerPort } from "./ports.js";
+import type { Tables } from "./tables.js";
+
+/**
+ * A worker that cannot reach the leader tries another node about once in this time: it waits
+ * 4 s for an answer and a second before the next.
+ */
+export const strayMs = 6000;
+/** So long after a takeover workers still come from elsewhere. */
+const settleMs = 8000;
+/** A machine that does not stay with its relay is left alone for this long. */
+const sentAwayMs = 60_000;
+/** A relay answers twice a second. */
+const relaySilentMs = 1200;
+const pingEveryMs = 500;
+
+/** Who is there for a leader: which other controllers, and whether workers reach it. */
+export class Presence {
+	private readonly heardFrom = new Map<string, number>();
+	/** Machines that turned to other controllers, by controller. */
+	private readonly strays = new Map<string, { at: number; count: number }>();
+	/** Looks in a row at which most machines were not heard. */
+	private apart = 0;
+	/** Whether the other controllers receive reports and pass them on. */
+	private relaying = false;
+	private nextPing = 0;
+
+	constructor(
+		private readonly epoch: number,
+		private readonly beganAt: number,
+		private readonly platform: PlatformSettings,
+		private readonly settings: OperatorSettings,
+		private readonly tables: Tables,
+		private readonly peers: PeerPort,
+		private readonly served: () => boolean,
+		private readonly resign: (why: string) => void,
+	) {}
+
+	/** Called often, with authority; tells the others twice a second how things stand. */
+	tick(now: number, counts: () => [string, number][]): void {
+		if (now < this.nextPing) return;
+		this.nextPing = now + pingEveryMs;
+		const ears = this.hearing(now);
+		const hearing = ears.heard >= ears.up / 2;
+		this.considerRelaying();
+		const { epoch, relaying: relay } = this;
+		const message = { kind: "running", epoch, counts: counts(), served: this.served(), hearing, relay };
+		for (const other of this.platform.others) this.peers.send(other.node, message);
+		this.apart = ears.up >= 2 && !hearing ? this.apart + 1 : 0;
+		this.stepAside(now, ears);
+	}
+
+	/** Another controller has spoken to this leader. */
+	heard(from: string, now: number): void {
+		this.heardFrom.set(from, now);
+	}
+
+	silent(node: string): void {
+		this.heardFrom.delete(node);
+	}
+
+	/** It has answered, and says how many machines turned to it. */
+	answered(from: string, count: number, now: number): void {
+		this.strays.set(from, { at: now, count });
+		if (this.apart > 0) this.stepAside(now, this.hearing(now));
+	}
+
+	livePlacers(now: number): string[] {
+		const live = [this.platform.node];
+		for (const other of this.platform.others) {
+			const heard = this.heardFrom.get(other.node) ?? -Infinity;
+			if (now - heard <= this.settings.placing.silent_s * 1000 + 500) live.push(other.node);
+		}
+		return live;
+	}
+
+	/**
+	 * The controller that receives the machine's reports, or null for this one. Where so many
+	 * come that receiving them would take most of this process's share, the others do it. One
+	 * that comes back after it was sent away does not reach its relay and stays for a while.
+	 */
+	relayFor(id: string, now: number): string | null {
+		if (!this.relaying || !this.tables.rebuilt) return null;
+		const machine = this.tables.machines.get(id);
+		if (!machine || now - machine.sentAwayAt < sentAwayMs) return null;
+		const relays: string[] = [];
+		for (const [node, { at }] of this.strays) if (now - at < relaySilentMs) relays.push(node);
+		const relay = placerOf(id, relays);
+		if (relay !== null) machine.sentAwayAt = now;
+		return relay;
+	}
+
+	/** Reports come at least so often; with half as many, relaying ends again. */
+	private considerRelaying(): void {
+		const { workers, resources } = this.platform.cluster;
+		const perCore = this.settings.reports.relay_per_core;
+		const rate = this.tables.machines.size / workers.report_s / (resources.cores ?? 1);
+		if (perCore > 0 && rate >= perCore) this.relaying = true;
+		else if (rate < perCore / 2) this.relaying = false;
+	}
+
+	/** Machines that are up, and those of them that this node hears. */
+	private hearing(now: number): { up: number; heard: number } {
+		const since = now - (2500 * this.platform.cluster.workers.report_s + 500);
+		let up = 0;
+		let heard = 0;
+		for (const machine of this.tables.machines.values()) {
+			if (!machine.up) continue;
+			up += 1;
+			if (machine.reportedAt > since && machine.deafAt === null) heard += 1;
+		}
+		return { up, heard };
+	}
+
+	/**
+	 * A leader may keep the store and the other controllers and lose the workers. Then it
+	 * stands in the way: the workers turn to the others, who can only send them back. If
+	 * the others hear more machines than this node does, one of them had better lead.
+	 */
+	private stepAside(now: number, { up, heard }: { up: number; heard: number }): void {
+		if (now - this.beganAt < settleMs) return;
+		let strays = 0;
+		for (const { at, count } of this.strays.values()) if (now - at < 2000) strays = Math.max(strays, count);
+		if (this.apart >= 2 && strays > heard && strays >= up / 10) {
+			this.resign(`the workers do not reach this node: ${heard} of ${up} heard`);
+		}
+	}
+}
--- /dev/null
+++ b/src/coordination/takeover.ts
@@ -0,0 +1,107 @@
+import type { Machine } from "../bookkeeping/machines.js";
+import type { WorkerReport } from "../protocol/model.js";
+import type { Log, WorkerPort } from "./ports.js";
+import type { Tables } from "./tables.js";
+
+/** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
+const probesPerTick = 12;
+const probesWhenLate = 2;
+const probeTries = 3;
+/** A machine not heard for this long after a takeover is given back. */
+const hiddenPatienceMs = 2000;
+
+interface Probe {
+	machine: Machine;
+	session: number;
+	tries: number;
+}
+
+export interface TakeoverHooks {
+	post(command: () => void): void;
+	/** This process may act for the controllers. */
+	active(): boolean;
+	apply(report: WorkerReport): void;
+	/** The cloud has named its machines, and this one is not among them. */
+	unlisted(id: string): boolean;
+}
+
+/** Hears every machine of the leader before, or gives it up. */
+export class Takeover {
+	private readonly probes: Probe[] = [];
+
+	constructor(
+		private readonly tables: Tables,
+		private readonly workers: WorkerPort,
+		private readonly beganAt: number,
+		private readonly hooks: TakeoverHooks,
+		private readonly log: Log,
+	) {}
+
+	/** The machine may hold tasks that nobody has listed yet. */
+	hide(machine: Machine, session: number): void {
+		this.tables.hide(machine);
+		this.probes.push({ machine, session, tries: probeTries });
+	}
+
+	tick(now: number, late: boolean): void {
+		this.sendProbes(late);
+		this.giveUpHidden(now);
+	}
+
+	/**
+	 * Asks machines straight for their tasks. An empty list of orders carries the
+	 * token there, so that every answer of an earlier leader is dead from then on.
+	 */
+	sendProbes(late: boolean): void {
+		// Most workers come by themselves; whoever is late in that is asked all the same.
+		let left = late ? probesWhenLate : probesPerTick;
+		while (left > 0) {
+			const next = this.probes.shift();
+			if (!next) return;
+			if (!this.tables.hidden.has(next.machine) || next.machine.endpoint === "") continue;
+			left -= 1;
+			this.probe(next);
+		}
+	}
+
+	private probe({ machine, session, tries }: Probe): void {
+		if (!this.hooks.active()) return;
+		this.workers.command(machine.endpoint, this.tables.epoch, session, []).then(
+			({ executed, report }) =>
+				this.hooks.post(() => {
+					if (!this.tables.hidden.has(machine) || !this.hooks.active()) return;
+					if (executed && report.machine === machine.id) this.hooks.apply(report);
+					else if (report.token <= this.tables.epoch && tries > 1) {
+						this.probes.unshift({ machine, session: report.session, tries: tries - 1 });
+					}
+				}),
+			() =>
+				this.hooks.post(() => {
+					if (tries > 1) this.probes.push({ machine, session, tries: tries - 1 });
+				}),
+		);
+	}
+
+	/**
+	 * A machine that neither reports to a new leader nor answers it holds up every
+	 * start until its lease is over. Given back, it is proved gone at once. Not so
+	 * when many are silent: then the fault is more likely on this side. Hundreds take
+	 * a while to be heard, so it is looked at again until few are left.
+	 */
+	private giveUpHidden(now: number): void {
+		const { hidden, machines } = this.tables;
+		const waitedMs = now - this.beganAt;
+		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
+		// The fewer are left, the sooner waiting for them costs more than they do.
+		const share = Math.min(1 / 5, 0.01 * 2 ** ((waitedMs - hiddenPatienceMs) / 1000));
+		// What the cloud does not list was returned or taken while its record could not be dropped.
+		// This is no proof, since a list may be late; its return is.
+		const here = [...hidden].filter((m) => !this.hooks.unlisted(m.id));
+		const few = here.length <= Math.max(2, machines.size * share);
+		for (const machine of hidden) {
+			if (machine.returning || !(few || this.hooks.unlisted(machine.id))) continue;
+			machine.returning = true;
+			this.log.info({ machine: machine.id }, "not heard since the takeover: returning");
+		}
+	}
+}
