--- /dev/null
+++ b/tests/relay.test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AnswerBatches, Relay } from "../src/coordination/relay.js";
+import type { Order, WorkerReport } from "../src/protocol/model.js";
+import { type PeerMessage, packReport, unpackReport } from "../src/protocol/peer.js";
+import { FakeTime } from "./support/fake-time.js";
+
+const report: WorkerReport = {
+	machine: "n-1",
+	endpoint: "10.1.0.1:9000",
+	type: "small",
+	zone: "a",
+	spot: true,
+	session: 2,
+	seq: 7,
+	token: 3,
+	noticeS: 12.5,
+	tasks: [
+		{ job: "j-1", index: 4, attempt: 3 * 2 ** 22 + 1, state: "running", cause: null, saved: false },
+		{ job: "j-2", index: 0, attempt: 5, state: "exited", cause: "stopped", saved: true },
+	],
+};
+
+function relayTo(leader: string, epoch: number) {
+	const time = new FakeTime();
+	const sent: { to: string; message: PeerMessage }[] = [];
+	const peers = {
+		send: (to: string, message: unknown) => sent.push({ to, message: message as PeerMessage }),
+	};
+	const relay = new Relay(peers, time);
+	relay.newLeader(leader, epoch);
+	/** What came of a report: undefined while it waits. */
+	const pass = () => {
+		const result: { orders?: Order[] | null } = {};
+		const taken = relay.take(report);
+		taken?.then((orders) => {
+			result.orders = orders;
+		});
+		return taken && result;
+	};
+	return { time, sent, relay, pass, peers };
+}
+
+test("a report keeps every field on its way between controllers", () => {
+	assert.deepEqual(unpackReport(packReport(report)), report);
+});
+
+test("reports of one moment go to the leader as one message, and each gets its own answer", async () => {
+	const { time, sent, relay, pass } = relayTo("runner-1", 3);
+	const [one, two] = [pass(), pass()];
+	await time.advance(100);
+	assert.equal(sent.length, 1);
+	const { to, message } = sent[0] as { to: string; message: PeerMessage };
+	assert.ok(to === "runner-1" && message.kind === "reports" && message.epoch === 3);
+	const numbers = message.reports.map(([number]) => number);
+	const stop: Order = { op: "stop", job: "j-1", index: 4, attempt: 1, graceS: 0 };
+	relay.answered("runner-1", 3, [
+		[numbers[1] as number, [stop]],
+		[numbers[0] as number, null],
+	]);
+	await time.advance(1);
+	assert.deepEqual([one?.orders, two?.orders], [null, [stop]]);
+});
+
+test("answers of a leader that was replaced are dropped, and whoever waits for one is set free", async () => {
+	const { time, relay, pass } = relayTo("runner-1", 3);
+	const before = pass();
+	relay.newLeader("runner-2", 9);
+	await time.advance(1);
+	assert.equal(before?.orders, null);
+	const after = pass();
+	relay.answered("runner-1", 3, [[2, []]]);
+	relay.answered("runner-1", 9, [[2, []]]);
+	await time.advance(1);
+	assert.equal(after?.orders, undefined, "only the leader asked may answer");
+	relay.answered("runner-2", 9, [[2, []]]);
+	await time.advance(1);
+	assert.deepEqual(after?.orders, []);
+});
+
+test("a report without an answer is given up before its worker does, and nothing is passed on for a while", async () => {
+	const { time, relay, pass } = relayTo("runner-1", 3);
+	const lost = pass();
+	for (let at = 0; at <= 3900; at += 100) {
+		await time.advance(100);
+		relay.tick();
+	}
+	assert.equal(lost?.orders, null);
+	assert.equal(pass(), null);
+	await time.advance(3000);
+	assert.notEqual(pass(), null);
+});
+
+test("answers to one relay go together, each under the epoch that it was decided in", async () => {
+	const { time, sent, peers } = relayTo("runner-1", 3);
+	const answers = new AnswerBatches(peers, time);
+	answers.add("runner-0", 3, 1, []);
+	answers.add("runner-0", 3, 2, null);
+	answers.add("runner-0", 4, 1, []);
+	await time.advance(100);
+	assert.deepEqual(
+		sent.map(({ message }) => message),
+		[
+			{
+				kind: "answers",
+				epoch: 3,
+				answers: [
+					[1, []],
+					[2, null],
+				],
+			},
+			{ kind: "answers", epoch: 4, answers: [[1, []]] },
+		],
+	);
+});
