--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -129,6 +129,7 @@
 			ports.peers,
 			served,
 			resign,
+			ports.log,
 		);
 		this.takeover = new Takeover(
 			this.tables,
--- a/src/coordination/presence.ts
+++ b/src/coordination/presence.ts
@@ -1,7 +1,7 @@
 import type { OperatorSettings } from "../protocol/operator.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import { placerOf } from "./parting.js";
-import type { PeerPort } from "./ports.js";
+import type { Log, PeerPort } from "./ports.js";
 import type { Tables } from "./tables.js";
 
 /**
@@ -37,6 +37,7 @@
 		private readonly peers: PeerPort,
 		private readonly served: () => boolean,
 		private readonly resign: (why: string) => void,
+		private readonly log: Log,
 	) {}
 
 	/** Called often, with authority; tells the others twice a second how things stand. */
@@ -98,8 +99,11 @@
 		const { workers, resources } = this.platform.cluster;
 		const perCore = this.settings.reports.relay_per_core;
 		const rate = this.tables.machines.size / workers.report_s / (resources.cores ?? 1);
-		if (perCore > 0 && rate >= perCore) this.relaying = true;
-		else if (rate < perCore / 2) this.relaying = false;
+		const relaying = perCore > 0 && rate >= (this.relaying ? perCore / 2 : perCore);
+		if (relaying === this.relaying) return;
+		this.relaying = relaying;
+		const by = relaying ? "all controllers receive reports" : "this controller alone receives reports";
+		this.log.info({ perCore: Math.round(rate) }, by);
 	}
 
 	/** Machines that are up, and those of them that this node hears. */
