Clean-up: a job's end is looked at in one place; probes ask for the end of the term again

A job ended both where an attempt's outcome was settled and where tasks of an earlier leader were found done; now a report names every job with newly done tasks, and each is looked at once. In preemption: one test of what takes work, no field used by the constructor alone, no key that nobody reads.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -138,6 +138,7 @@
 			{
 				post: ports.post,
 				active: () => this.active,
+				ended: () => this.ended,
 				apply: (report) => this.apply(report),
 				unlisted: (id) => this.fleet.unlisted(id),
 			},
@@ -307,8 +308,8 @@
 		machine.onlyListed = false;
 		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
 		for (const outcome of applied.outcomes) this.settle(outcome, now);
-		// The last tasks of a job may have ended while nobody led: no attempt of this leader ends it.
-		for (const job of applied.found) this.finishIfDone(job);
+		// Not only by outcomes: a job's last tasks may have ended while nobody led.
+		for (const job of applied.progressed) this.finishIfDone(job);
 		for (const attempt of applied.vanished) {
 			ports.log.info({ machine: machine.id, job: attempt.job.id, task: attempt.index }, "task vanished");
 		}
@@ -333,7 +334,6 @@
 			machine.suspect = false;
 			machine.failedJobs.clear();
 			job.failedOn.clear();
-			this.finishIfDone(job);
 			return;
 		}
 		if (cause !== "error" && cause !== "unknown") return;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -73,7 +73,6 @@
 	private readonly freed = new Map<string, number>();
 	/** What will be free on a machine beside what is free now, less what is promised. */
 	private readonly extra = new Map<Machine, Amount>();
-	private readonly open: Machine[];
 	/** Open machines with anything free, now or soon. */
 	private readonly roomy = new Set<Machine>();
 	private readonly looked: Machine[];
@@ -87,13 +86,13 @@
 		private readonly now: number,
 		sample: (machines: Machine[]) => Machine[],
 	) {
-		this.open = [...tables.machines.values()].filter((m) => m.open && !m.suspect);
+		const open = [...tables.machines.values()].filter(takesWork);
 		// What was stopped before and has not ended yet is on its way to being free.
 		for (const machine of tables.machines.values()) {
 			for (const attempt of machine.attempts.values()) if (attempt.stop !== null) this.free(attempt);
 		}
-		for (const m of this.open) if (m.freeCpus + (this.extra.get(m)?.cpus ?? 0) > slack) this.roomy.add(m);
-		this.looked = sample(this.open);
+		for (const m of open) if (m.freeCpus + (this.extra.get(m)?.cpus ?? 0) > slack) this.roomy.add(m);
+		this.looked = sample(open);
 	}
 
 	private add(machine: Machine, { spec }: Job, sign: 1 | -1): void {
@@ -112,7 +111,7 @@
 	private take(attempt: Attempt): void {
 		this.victims.add(attempt);
 		this.free(attempt);
-		if (attempt.machine.open && !attempt.machine.suspect) this.roomy.add(attempt.machine);
+		if (takesWork(attempt.machine)) this.roomy.add(attempt.machine);
 	}
 
 	/** What is left on the machine once a task of the job is there too. */
@@ -150,13 +149,15 @@
 			return true;
 		}
 		if (!urgent && !withinGuarantee) return false;
-		const kind = JSON.stringify([spec.team, job.rank, withinGuarantee, spec.cpus, spec.memoryGb, spec.gpus]);
 		// Demands for types, zones and kinds are rare, so such jobs are searched for each by itself.
-		const free = spec.types === null && spec.zone === null && spec.spot;
-		if (free && this.hopeless.has(kind)) return false;
+		const kind =
+			spec.types === null && spec.zone === null && spec.spot
+				? JSON.stringify([spec.team, job.rank, withinGuarantee, spec.cpus, spec.memoryGb, spec.gpus])
+				: null;
+		if (kind !== null && this.hopeless.has(kind)) return false;
 		const plan = this.cheapestPlan(job, withinGuarantee);
 		if (!plan) {
-			if (free) this.hopeless.add(kind);
+			if (kind !== null) this.hopeless.add(kind);
 			return false;
 		}
 		for (const attempt of plan.attempts) this.take(attempt);
@@ -230,6 +231,10 @@
 	}
 }
 
+function takesWork(machine: Machine): boolean {
+	return machine.open && !machine.suspect;
+}
+
 function enough(room: Amount): boolean {
 	return room.cpus >= -slack && room.memory >= -slack && room.gpus >= -slack;
 }
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -14,8 +14,8 @@
 			kind: "applied";
 			machine: Machine;
 			outcomes: Outcome[];
-			/** Jobs with tasks that ended under attempts of an earlier leader. */
-			found: Set<Job>;
+			/** Jobs with tasks that are done, under whichever leader's attempts. */
+			progressed: Set<Job>;
 			vanished: Attempt[];
 			isNew: boolean;
 	  }
@@ -73,7 +73,7 @@
 	}
 
 	const outcomes: Outcome[] = [];
-	const found = new Set<Job>();
+	const progressed = new Set<Job>();
 	const listed = new Set<string>();
 	let startSeen = false;
 	machine.exited = [];
@@ -86,7 +86,10 @@
 			if (task.state === "exited") {
 				const cause = task.cause ?? "error";
 				exited(tables, machine, task);
-				if (cause === "done") tables.markDone(attempt.job, attempt.index);
+				if (cause === "done") {
+					tables.markDone(attempt.job, attempt.index);
+					progressed.add(attempt.job);
+				}
 				tables.over(attempt);
 				outcomes.push({ attempt, cause });
 			} else progress(attempt, task, now);
@@ -95,7 +98,7 @@
 			const job = tables.jobs.get(task.job);
 			if (task.cause === "done" && job && task.index < job.spec.tasks) {
 				foundDone(tables, job, task.index);
-				found.add(job);
+				progressed.add(job);
 			}
 		} else if (adoptOrRefuse(tables, machine, task, now)) listed.add(taskKey(task.job, task.index));
 	}
@@ -126,7 +129,7 @@
 		tables.over(attempt);
 		vanished.push(attempt);
 	}
-	return { kind: "applied", machine, outcomes, found, vanished, isNew };
+	return { kind: "applied", machine, outcomes, progressed, vanished, isNew };
 }
 
 /** Answers in a row without effect after which nothing more is sent to a machine: one may get lost. */
--- a/src/coordination/takeover.ts
+++ b/src/coordination/takeover.ts
@@ -20,6 +20,8 @@
 	post(command: () => void): void;
 	/** This process may act for the controllers. */
 	active(): boolean;
+	/** The term is over for good. */
+	ended(): boolean;
 	apply(report: WorkerReport): void;
 	/** The cloud has named its machines, and this one is not among them. */
 	unlisted(id: string): boolean;
@@ -69,7 +71,7 @@
 		this.workers.command(machine.endpoint, this.tables.epoch, session, []).then(
 			({ executed, report }) =>
 				this.hooks.post(() => {
-					if (!this.tables.hidden.has(machine) || !this.hooks.active()) return;
+					if (!this.tables.hidden.has(machine) || this.hooks.ended()) return;
 					if (executed && report.machine === machine.id) this.hooks.apply(report);
 					else if (report.token <= this.tables.epoch && tries > 1) {
 						this.probes.unshift({ machine, session: report.session, tries: tries - 1 });
@@ -77,7 +79,7 @@
 				}),
 			() =>
 				this.hooks.post(() => {
-					if (tries > 1) this.probes.push({ machine, session, tries: tries - 1 });
+					if (tries > 1 && !this.hooks.ended()) this.probes.push({ machine, session, tries: tries - 1 });
 				}),
 		);
 	}
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -153,7 +153,7 @@
 	const applied = applyReport(tables, report(1, ended), 0);
 	assert.ok(applied.kind === "applied");
 	assert.ok(job.done.full);
-	assert.deepEqual([...applied.found], [job]);
+	assert.deepEqual([...applied.progressed], [job]);
 });
 
 test("tasks nobody wants are stopped: of unknown jobs, done already, or on another machine", () => {
