A leader acts only on knowledge: authority counts from what it can know of cancellations

Cause, by reading: authority by a renewal did not ask whether the watch is current, and the time of knowledge was that of working on an answer, which may have been held up or waited in a process standing still. Authority could also come back by promises after it had lapsed, though another controller may have led and ended in between. Promises now carry the cancellations that their givers can have told of, so an outage no longer ends authority at cancel_s less lease_s while all controllers are up. A job whose end is known is no longer live in the copy, whoever brought the news. 404 only after both keys were read.

--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -18,6 +18,14 @@
 }
 
 const finalsKept = 5000;
+const cancellationsKept = 2000;
+
+/** A job whose cancellation is in the store, and the revision of that. */
+export interface CancelledJob {
+	id: string;
+	record: FinalRecord;
+	revision: number;
+}
 
 /**
  * A node's copy of the live records, as of an epoch. Answers of overlapping
@@ -37,6 +45,10 @@
 	private readonly pages = new Map<string, Map<number, string>>();
 	/** The latest finals seen; older ones are read from the store when asked for. */
 	readonly finals = new Map<string, FinalRecord>();
+	/** Cancellations seen since the first load, of which a user may have been told here. */
+	private readonly cancelled = new Map<string, CancelledJob>();
+	/** Cancellations up to this revision are not, or no longer, kept one by one. */
+	private cancelledAfter = Number.POSITIVE_INFINITY;
 	private readonly listeners: ((key: string) => void)[] = [];
 
 	onChange(listener: (key: string) => void): void {
@@ -54,6 +66,7 @@
 		for (const row of rows) this.put(row.key, row.value, row.revision);
 		this.epoch = epoch;
 		this.loaded = true;
+		this.cancelledAfter = Math.min(this.cancelledAfter, epoch);
 		for (const row of rows) this.notify(row.key);
 		for (const id of before) if (!this.jobs.has(id)) this.notify(keys.job(id));
 	}
@@ -88,7 +101,7 @@
 				this.jobs.set(id, { value: value as JobRecord, revision });
 		} else if (key.startsWith(keys.finals)) {
 			const id = key.slice(keys.finals.length);
-			this.rememberFinal(id, value as FinalRecord);
+			this.rememberFinal(id, value as FinalRecord, revision);
 		} else if (key.startsWith(keys.progress)) {
 			const old = this.progress.get(key);
 			if (!newer(old)) return;
@@ -145,12 +158,32 @@
 		return this.pages.get(id) ?? [];
 	}
 
-	rememberFinal(id: string, record: FinalRecord): void {
+	/** Whoever brings the news, the job is no longer live: the watch may be stuck from here on. */
+	rememberFinal(id: string, record: FinalRecord, revision: number): void {
 		this.finals.set(id, record);
 		if (this.finals.size > finalsKept) {
 			const oldest = this.finals.keys().next().value;
 			if (oldest !== undefined) this.finals.delete(oldest);
 		}
+		if (record.status === "cancelled") this.noteCancelled({ id, record, revision });
+		if (this.jobs.delete(id)) this.notify(keys.job(id));
+	}
+
+	private noteCancelled(job: CancelledJob): void {
+		this.cancelled.set(job.id, job);
+		if (this.cancelled.size <= cancellationsKept) return;
+		const oldest = this.cancelled.values().next().value as CancelledJob;
+		this.cancelled.delete(oldest.id);
+		this.cancelledAfter = Math.max(this.cancelledAfter, oldest.revision);
+	}
+
+	/**
+	 * Every cancellation after the epoch of which this node can have told a user. null: it cannot
+	 * say, since an earlier process of the node may have told of some that this one never saw.
+	 */
+	cancelledSince(epoch: number): CancelledJob[] | null {
+		if (epoch < this.cancelledAfter) return null;
+		return [...this.cancelled.values()].filter((job) => job.revision > epoch);
 	}
 
 	doneCount(id: string): number {
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -84,7 +84,7 @@
 			{
 				ttlMs: settings.leadership.ttl_s * 1000,
 				marginMs: settings.leadership.margin_s * 1000,
-				withoutStoreMs: withoutStoreMs(platform),
+				unknowingMs: unknowingMs(platform),
 			},
 			store,
 			time,
@@ -95,7 +95,16 @@
 				tell: (message) => {
 					for (const other of platform.others) ports.peers.send(other.node, message);
 				},
-				heardAt: () => this.copy.heardAt,
+				knownAt: () => this.copy.knownAt,
+				knownEpoch: () => this.replica.epoch,
+				cancelledSince: (epoch) =>
+					this.replica
+						.cancelledSince(epoch)
+						?.map(({ id, record, revision }) => [id, revision, record.tasks, record.done]) ?? null,
+				learn: (cancelled) => {
+					for (const [id, revision, tasks, done] of cancelled)
+						this.replica.applyOwn(keys.final(id), { status: "cancelled", tasks, done }, revision);
+				},
 			},
 			platform.others.map((other) => other.node),
 			log,
@@ -376,13 +385,17 @@
 	}
 }
 
+/** Beside the drift of clocks: for answers that were decided in time and written a little later. */
+const cancelMarginMs = 2000;
+
 /**
  * A cancellation that this process has not heard of must still be carried out within
- * cancel_s: authority without the store, then a worker's whole lease, then a margin.
+ * cancel_s: authority without knowledge of it, then a worker's whole lease, then a margin.
+ * All three count from the sending of requests, so delays on the way are on the safe side.
  */
-export function withoutStoreMs(platform: PlatformSettings): number {
+export function unknowingMs(platform: PlatformSettings): number {
 	const { cancel_s, lease_s } = platform.cluster.workers;
-	return Math.max(0, cancel_s - lease_s * 1.01 - Math.max(3, cancel_s * 0.1)) * 1000;
+	return Math.max(0, (cancel_s - lease_s * 1.01) * 1000 - cancelMarginMs);
 }
 
 /** Prices of spot machines move all the time; only what submissions depend on is compared. */
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -141,10 +141,14 @@
 		await this.copy.fence();
 		const state = await this.enqueue(() => this.stateNow(id));
 		if (state) return state;
+		// The copy may have been made anew, from rows read earlier, since it was asked. That a job
+		// is nowhere is said only when neither of its keys is there, the live one looked for first.
+		const live = await this.store.read(keys.job(id));
+		if (live.row) throw new CallFailed("refused", 0, "the job is not in the local copy yet");
 		const { row } = await this.store.read(keys.final(id));
 		if (!row) return null;
 		const record = row.value as FinalRecord;
-		await this.enqueue(() => this.replica.rememberFinal(id, record));
+		await this.enqueue(() => this.replica.rememberFinal(id, record, row.revision));
 		return stateOf(record);
 	}
 
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -17,7 +17,7 @@
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { chooseVictims } from "./preemption.js";
 import { Presence } from "./presence.js";
-import { applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
+import { type Applied, applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
 import { SharedRecords } from "./shared-records.js";
 import { Tables } from "./tables.js";
 import { Takeover } from "./takeover.js";
@@ -244,8 +244,9 @@
 		if (this.fleet.isGone(report.machine)) return Promise.resolve(null);
 		const now = this.ports.time.now();
 		const applied = this.apply(report);
-		if (applied === "expired") return Promise.resolve(null);
-		if (applied !== "applied") return Promise.resolve([]);
+		// Of a type that nobody knows no task can be told from another: it gets no answer that keeps them.
+		if (applied === "expired" || applied === "unknown type") return Promise.resolve(null);
+		if (applied === "old") return Promise.resolve([]);
 		const machine = this.tables.machines.get(report.machine) as Machine;
 		machine.answeredAt = now;
 		if (!machine.durable) this.record(machine);
@@ -298,12 +299,11 @@
 		held.answer(machine ? this.answer(machine) : null);
 	}
 
-	private apply(report: WorkerReport): "applied" | "expired" | "ignored" {
+	private apply(report: WorkerReport): Applied["kind"] {
 		const { tables, ports } = this;
 		const now = ports.time.now();
 		const applied = applyReport(tables, report, now);
-		if (applied.kind === "expired") return "expired";
-		if (applied.kind !== "applied") return "ignored";
+		if (applied.kind !== "applied") return applied.kind;
 		const { machine } = applied;
 		machine.onlyListed = false;
 		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
--- a/src/coordination/leadership.ts
+++ b/src/coordination/leadership.ts
@@ -1,41 +1,48 @@
 import { keys, type LeaderRecord } from "../bookkeeping/records.js";
 import type { Versioned } from "../bookkeeping/replica.js";
-import type { PeerMessage } from "../protocol/peer.js";
+import type { Cancellation, PeerMessage } from "../protocol/peer.js";
 import { CallFailed, type Log, type StorePort, type TimePort } from "./ports.js";
 
 export interface LeadershipSettings {
 	ttlMs: number;
 	marginMs: number;
-	/** Longest authority after the store last told this process anything. */
-	withoutStoreMs: number;
+	/** Longest authority after the moment up to which every cancellation is known here. */
+	unknowingMs: number;
 }
 
 /** Two steady clocks drift apart by at most this part. */
 export const drift = 0.001;
 /** A put sent without an answer may be applied minutes late. */
 const uncertainMs = 5 * 60_000;
+/** Answers to older questions than this many are of no use. */
+const asksKept = 40;
 
 /**
  * Holds the leader's key, which is attached to a lease. The revision of the put
  * that won it is the epoch and the fencing token.
  *
- * Authority lasts until the lease's time after the *sending* of its last
- * successful renewal, less drift and margin: the store counts from a later
- * moment, so it cannot have given the key to anyone else by then. It is tested
- * at every use, since this process may run late.
+ * Authority needs two things, tested at every use, since this process may run late.
  *
- * While renewals are refused, authority goes on as long as *every* other controller
+ * Nobody else has the key. That is certain until the lease's time after the *sending*
+ * of its last successful renewal, less drift and margin: the store counts from a later
+ * moment. While renewals are refused, it goes on as long as *every* other controller
  * has found itself refused too and has promised not to campaign for the length of
- * a lease. Nobody else can then win the key, whether the store is down for all or
- * each node is refused on its own. A process that starts may have promised before
- * it ended: it holds back for as long, unless every other controller says that it
- * does not lead. All this ends a bounded time after the store was last heard, so
- * that a cancellation unknown here is carried out in time by leases running out.
+ * a lease, whether the store is down for all or each node is refused on its own. Once
+ * that has lapsed only a renewal brings it back: another may have led meanwhile and
+ * ended, and the promises of its successor process know nothing of it. A process that
+ * starts may have promised before it ended: it holds back for as long, unless every
+ * other controller says that it does not lead.
+ *
+ * Every cancellation that a user was told of up to a moment not long ago is known here,
+ * from the store or from the others, so that one unknown here is carried out in time by
+ * leases running out. Renewals say nothing about that: they may succeed while the watch
+ * is stuck.
  */
 export class Leadership {
 	private lease: number | null = null;
 	private held: number | null = null;
-	private validUntil = -Infinity;
+	/** Nobody else can have the key before this. */
+	private unchallengedUntil = -Infinity;
 	private renewing = false;
 	private campaigning = false;
 	private nextRenewal = 0;
@@ -43,6 +50,8 @@
 	private renewedAt = -Infinity;
 	/** By controller: until when it will not campaign. */
 	private readonly promises = new Map<string, number>();
+	/** By controller: all that its node has told users of cancellations up to then is known here. */
+	private readonly vouched = new Map<string, number>();
 	private readonly asked = new Map<number, number>();
 	private askNumber = 0;
 	private nextAsk = 0;
@@ -66,8 +75,12 @@
 			lost(epoch: number, why: string): void;
 			/** To every other controller. */
 			tell(message: PeerMessage): void;
-			/** Steady time at which the local copy last heard from the store. */
-			heardAt(): number;
+			/** Steady time up to which the local copy holds every change of the store, and its epoch. */
+			knownAt(): number;
+			knownEpoch(): number;
+			/** Every cancellation after the epoch that this node can have told a user of; null: it cannot say. */
+			cancelledSince(epoch: number): Cancellation[] | null;
+			learn(cancelled: Cancellation[]): void;
 		},
 		private readonly others: readonly string[],
 		private readonly log: Log,
@@ -84,13 +97,18 @@
 	authority(): number | null {
 		if (this.held === null) return null;
 		const now = this.time.now();
-		return now < this.validUntil || now < this.extendedUntil() ? this.held : null;
+		const alone = this.others.length === 0;
+		return (alone || now < this.unchallengedUntil) && now < this.knowingUntil() ? this.held : null;
+	}
+
+	private knowingUntil(): number {
+		return Math.max(this.hooks.knownAt(), this.earliest(this.vouched)) + this.settings.unknowingMs;
 	}
 
-	private extendedUntil(): number {
-		let until = Math.min(this.renewedAt, this.hooks.heardAt()) + this.settings.withoutStoreMs;
-		for (const other of this.others) until = Math.min(until, this.promises.get(other) ?? -Infinity);
-		return until;
+	/** The earliest of the times noted for the others, one not noted being the earliest of all. */
+	private earliest(times: Map<string, number>): number {
+		if (this.others.length === 0) return -Infinity;
+		return Math.min(...this.others.map((other) => times.get(other) ?? -Infinity));
 	}
 
 	/** A fresh cluster has nothing that a promise could have been about. */
@@ -116,18 +134,28 @@
 			if (message.leading) this.notLeading.delete(from);
 			else this.notLeading.add(from);
 			if (this.others.every((other) => this.notLeading.has(other))) this.releaseStartHold();
-		} else if (message.kind === "ask") this.considerPromise(message.epoch, message.number);
-		else if (message.kind === "promise" && message.epoch === this.held) {
-			const sentAt = this.asked.get(message.number);
-			if (sentAt === undefined) return;
-			const until = sentAt + this.promiseMs * (1 - drift) - this.settings.marginMs;
-			this.promises.set(from, Math.max(until, this.promises.get(from) ?? -Infinity));
-			this.log.debug({ from, forMs: Math.round(until - now) }, "promise received");
-		}
+		} else if (message.kind === "ask") this.considerPromise(message);
+		else if (message.kind === "promise") this.promised(from, message, now);
+	}
+
+	private promised(from: string, message: Extract<PeerMessage, { kind: "promise" }>, now: number): void {
+		// What it names is so, however old the message is, and is carried out before anything is counted.
+		if (message.cancelled) this.hooks.learn(message.cancelled);
+		const sentAt = this.asked.get(message.number);
+		if (message.epoch !== this.held || sentAt === undefined) return;
+		const latest = (times: Map<string, number>, at: number) =>
+			times.set(from, Math.max(at, times.get(from) ?? -Infinity));
+		if (message.cancelled) latest(this.vouched, sentAt);
+		// Whoever promises now may have led in between, in a process that has ended since.
+		if (now >= this.unchallengedUntil) return;
+		const until = sentAt + this.promiseMs * (1 - drift) - this.settings.marginMs;
+		latest(this.promises, until);
+		this.unchallengedUntil = Math.max(this.unchallengedUntil, this.earliest(this.promises));
+		this.log.debug({ from, forMs: Math.round(until - now) }, "promise received");
 	}
 
 	/** Promises only when a request made after the question was refused. */
-	private considerPromise(epoch: number, number: number): void {
+	private considerPromise({ epoch, number, known }: Extract<PeerMessage, { kind: "ask" }>): void {
 		const may = () => this.held === null && !this.campaigning && this.time.now() >= this.uncertainUntil;
 		if (!may()) return;
 		this.store.read(keys.leader).then(
@@ -138,18 +166,21 @@
 					const until = this.time.now() + this.promiseMs * (1 + drift);
 					this.promisedUntil = Math.max(this.promisedUntil, until);
 					this.startHold = false;
-					this.hooks.tell({ kind: "promise", epoch, number });
+					const cancelled = known === undefined ? null : this.hooks.cancelledSince(known);
+					this.hooks.tell({ kind: "promise", epoch, number, ...(cancelled && { cancelled }) });
 				}),
 		);
 	}
 
 	private ask(now: number): void {
 		if (now < this.nextAsk) return;
-		this.nextAsk = now + this.promiseMs / 6;
+		// Often: the store may be out for all only when little of the lease is left.
+		this.nextAsk = now + this.promiseMs / 20;
 		this.askNumber += 1;
 		this.asked.set(this.askNumber, now);
-		this.asked.delete(this.askNumber - 20);
-		this.hooks.tell({ kind: "ask", epoch: this.held ?? 0, number: this.askNumber });
+		this.asked.delete(this.askNumber - asksKept);
+		const known = this.hooks.knownEpoch();
+		this.hooks.tell({ kind: "ask", epoch: this.held ?? 0, number: this.askNumber, known });
 	}
 
 	/** The epoch whose lease has not been seen to end, with or without present authority. */
@@ -167,6 +198,8 @@
 		if (this.held !== null) {
 			if (!this.renewing && now >= this.nextRenewal) this.renew();
 			if (now - this.renewedAt > this.settings.ttlMs / 3) this.ask(now);
+			// Served, and yet the changes do not come: another had better lead.
+			else if (now >= this.knowingUntil()) this.resign("changes of the store do not reach this node");
 			return;
 		}
 		if (now < this.promisedUntil) {
@@ -188,7 +221,7 @@
 		const lease = this.lease;
 		this.held = null;
 		this.lease = null;
-		this.validUntil = -Infinity;
+		this.unchallengedUntil = -Infinity;
 		// Long enough for another to take over, also where this node resigns because it is in the way.
 		this.nextCampaign = this.time.now() + this.settings.ttlMs + this.jitter() * 200;
 		if (lease !== null) this.store.endLease(lease).catch(() => {});
@@ -206,7 +239,7 @@
 				this.post(() => {
 					this.renewing = false;
 					if (this.lease !== lease) return;
-					this.validUntil = Math.max(this.validUntil, this.validFrom(sentAt));
+					this.unchallengedUntil = Math.max(this.unchallengedUntil, this.validFrom(sentAt));
 					this.renewedAt = Math.max(this.renewedAt, sentAt);
 				}),
 			(error) =>
@@ -233,9 +266,10 @@
 					}
 					this.held = won.epoch;
 					this.lease = won.lease;
-					this.validUntil = this.validFrom(sentAt);
+					this.unchallengedUntil = this.validFrom(sentAt);
 					this.renewedAt = sentAt;
 					this.promises.clear();
+					this.vouched.clear();
 					this.nextRenewal = this.time.now();
 					this.hooks.won(won.epoch);
 				}),
--- a/src/coordination/local-copy.ts
+++ b/src/coordination/local-copy.ts
@@ -28,6 +28,12 @@
 	private reloading: Promise<void> | null = null;
 	/** Steady time at which the store last answered. */
 	heardAt = -Infinity;
+	/**
+	 * Steady time up to which every change of the store is in the copy: the sending of the
+	 * latest request whose answer covers it. The answer itself may be held up on its way, or
+	 * come while the process stands still.
+	 */
+	knownAt = -Infinity;
 	private failedAt = -Infinity;
 	private doubtful = new Set<string>();
 
@@ -51,6 +57,7 @@
 	private watchOn(): void {
 		if (this.stopped) return;
 		const from = this.replica.epoch;
+		const sentAt = this.time.now();
 		const step = this.replica.loaded
 			? // In silence, short calls find out soon that it has ended.
 				this.store.watch(keys.root, from, this.silent ? 0 : watchMs)
@@ -59,7 +66,7 @@
 			(answer) =>
 				this.post(() => {
 					this.heardAt = this.time.now();
-					if (answer) this.take(from, answer);
+					if (answer) this.take(from, answer, sentAt);
 					// Each answer costs a request and a turn: changes of a moment come together.
 					if (answer && answer.events.length > 0) this.time.after(watchPauseMs, () => this.watchOn());
 					else this.watchOn();
@@ -75,8 +82,10 @@
 	}
 
 	/** An answer covers everything after `from`; it must not leave a gap behind a reload. */
-	private take(from: number, answer: Awaited<ReturnType<StorePort["watch"]>>): void {
-		if (this.replica.loaded && from <= this.replica.epoch) this.replica.apply(answer.events, answer.epoch);
+	private take(from: number, answer: Awaited<ReturnType<StorePort["watch"]>>, sentAt: number): void {
+		if (!this.replica.loaded || from > this.replica.epoch) return;
+		this.replica.apply(answer.events, answer.epoch);
+		this.knownAt = Math.max(this.knownAt, sentAt);
 	}
 
 	private reload(): Promise<void> {
@@ -88,6 +97,7 @@
 
 	private async load(): Promise<void> {
 		const parts = [];
+		const beganAt = this.time.now();
 		// One after the other, machines last: a burst of calls would use up a starting node's share.
 		for (const prefix of [keys.one, keys.jobs, keys.progress, keys.machines])
 			parts.push(await this.store.rows(prefix));
@@ -96,6 +106,7 @@
 		await new Promise<void>((resolve) =>
 			this.post(() => {
 				this.replica.reset(rows, epoch);
+				this.knownAt = Math.max(this.knownAt, beganAt);
 				resolve();
 			}),
 		);
@@ -171,11 +182,12 @@
 			return;
 		}
 		const from = this.replica.epoch;
+		const sentAt = this.time.now();
 		this.store.watch(keys.root, from, 0).then(
 			(answer) =>
 				this.post(() => {
 					this.heardAt = this.time.now();
-					this.take(from, answer);
+					this.take(from, answer, sentAt);
 					done((w) => w.resolve());
 				}),
 			(error) =>
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -24,9 +24,14 @@
 	| { kind: "reports"; epoch: number; reports: [number, PackedReport][] }
 	/** Leader to relay: what to answer to them; null: this leader may not answer. */
 	| { kind: "answers"; epoch: number; answers: [number, Order[] | null][] }
-	/** Leader to all, while the store refuses it: are you refused too, and will you not campaign for a while? */
-	| { kind: "ask"; epoch: number; number: number }
-	| { kind: "promise"; epoch: number; number: number }
+	/**
+	 * Leader to all, while the store refuses it: are you refused too, and will you not campaign
+	 * for a while? `known`: the epoch up to which the leader knows the store. In the answer,
+	 * `cancelled`: every cancellation after that epoch that the promiser can have told a user of;
+	 * left out by one that cannot say, such as a version before 0.4.0.
+	 */
+	| { kind: "ask"; epoch: number; number: number; known?: number }
+	| { kind: "promise"; epoch: number; number: number; cancelled?: Cancellation[] }
 	/** A node that has just started, to all: does anyone lead? */
 	| { kind: "who"; epoch: number; asker: string }
 	/** Names the process that asked, so that late copies of answers to an earlier one are known. */
@@ -34,6 +39,8 @@
 	/** `strays`: machines whose reports came to this node of late, although it does not lead. */
 	| { kind: "pong"; epoch: number; strays: number };
 
+export type Cancellation = [job: string, revision: number, tasks: number, done: number];
+
 export function asPeerMessage(raw: unknown): PeerMessage | null {
 	if (typeof raw !== "object" || raw === null) return null;
 	const message = raw as PeerMessage;
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -1,13 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { keys } from "../src/bookkeeping/records.js";
+import { Replica } from "../src/bookkeeping/replica.js";
 import { Leadership } from "../src/coordination/leadership.js";
+import { LocalCopy } from "../src/coordination/local-copy.js";
 import { CallFailed, type StorePort } from "../src/coordination/ports.js";
 import { SharedRecords } from "../src/coordination/shared-records.js";
-import type { PeerMessage } from "../src/protocol/peer.js";
+import type { Cancellation, PeerMessage } from "../src/protocol/peer.js";
 import { transactionBody } from "../src/protocol/wire.js";
 import type { Answer } from "../src/transport/http-client.js";
 import { StoreClient } from "../src/transport/store-client.js";
 import { FakeTime } from "./support/fake-time.js";
+import { specOf } from "./support/specs.js";
 import { StateService } from "./support/state-service.js";
 import { nodeNames, World } from "./support/world.js";
 
@@ -80,6 +84,10 @@
 	const service = state.service ?? new StateService(time);
 	const told: PeerMessage[] = [];
 	const won: number[] = [];
+	const lost: string[] = [];
+	const learnt: string[] = [];
+	/** What its local copy knows: all up to now, while the store answers its watch. */
+	const copy = { knownAt: 0, stuck: false, epoch: 5, cancelled: null as Cancellation[] | null };
 	const faults = { loseAnswers: false };
 	const store: StorePort = new StoreClient(
 		{
@@ -98,11 +106,22 @@
 	const leadership = new Leadership(
 		"me",
 		"inc",
-		{ ttlMs: 3000, marginMs: 300, withoutStoreMs: 20_000 },
+		{ ttlMs: 3000, marginMs: 300, unknowingMs: 20_000 },
 		store,
 		time,
 		(command) => command(),
-		{ won: (e) => won.push(e), lost() {}, tell: (m) => told.push(m), heardAt: () => time.now() },
+		{
+			won: (e) => won.push(e),
+			lost: (_epoch, why) => lost.push(why),
+			tell: (m) => told.push(m),
+			knownAt: () => {
+				if (!service.outage && !copy.stuck) copy.knownAt = time.now();
+				return copy.knownAt;
+			},
+			knownEpoch: () => copy.epoch,
+			cancelledSince: () => copy.cancelled,
+			learn: (cancelled) => learnt.push(...cancelled.map(([id]) => id)),
+		},
 		others,
 		quiet,
 		() => 0,
@@ -117,7 +136,7 @@
 			await time.advance(100);
 		}
 	};
-	return { time, service, told, won, faults, leadership, run };
+	return { time, service, told, won, lost, learnt, copy, faults, leadership, run };
 }
 
 test("a candidate that promised does not campaign until its promise has run out", async () => {
@@ -198,6 +217,119 @@
 	assert.equal(c.leadership.authority(), null);
 });
 
+/** Wins the key, then answers every question as the others would, for so long. */
+async function inOutage(c: ReturnType<typeof candidate>) {
+	c.leadership.releaseStartHold();
+	await c.run(500);
+	const epoch = c.won[0] as number;
+	assert.equal(c.leadership.authority(), epoch);
+	c.service.setOutage(true);
+	const answer = async (ms: number, answers: Record<string, Cancellation[] | undefined>) => {
+		for (let t = 0; t < ms; t += 100) {
+			await c.run(100);
+			for (const ask of c.told.splice(0)) {
+				if (ask.kind !== "ask") continue;
+				for (const [node, cancelled] of Object.entries(answers)) {
+					const { number } = ask;
+					c.leadership.message(node, { kind: "promise", epoch, number, ...(cancelled && { cancelled }) });
+				}
+			}
+		}
+	};
+	return { epoch, answer };
+}
+
+test("promises do not bring authority back once it has lapsed; a renewal does", async () => {
+	const c = candidate(["a", "b"]);
+	const { epoch, answer } = await inOutage(c);
+	await answer(4000, {});
+	assert.equal(c.leadership.authority(), null, "nobody promised");
+	await answer(2000, { a: [], b: [] });
+	assert.equal(c.leadership.authority(), null, "one of them may have led and ended since");
+	c.service.setOutage(false);
+	await c.run(1000);
+	assert.equal(c.leadership.authority(), epoch);
+});
+
+test("promises that name every cancellation carry authority through an outage of any length", async () => {
+	const c = candidate(["a", "b"]);
+	const { epoch, answer } = await inOutage(c);
+	await answer(30_000, { a: [], b: [["j-000007", 9, 1, 0]] });
+	assert.equal(c.leadership.authority(), epoch, "30 s, though unknowing for at most 20 s");
+	assert.ok(c.learnt.includes("j-000007"));
+	// From here on b cannot say what it told its users: the time since counts as unknowing.
+	await answer(19_000, { a: [], b: undefined });
+	assert.equal(c.leadership.authority(), epoch);
+	await answer(2000, { a: [], b: undefined });
+	assert.equal(c.leadership.authority(), null);
+});
+
+test("a leader whose watch is stuck while its renewals succeed gives up in time", async () => {
+	const c = candidate(["a"]);
+	c.leadership.releaseStartHold();
+	await c.run(500);
+	await c.run(5000);
+	c.copy.stuck = true;
+	await c.run(19_500);
+	assert.notEqual(c.leadership.authority(), null);
+	await c.run(1000);
+	assert.equal(c.leadership.authority(), null);
+	assert.match(c.lost[0] as string, /changes of the store/);
+});
+
+test("a copy's knowledge is as old as the request that brought it, however late the answer comes", async () => {
+	const time = new FakeTime();
+	const service = new StateService(time);
+	let heldMs = 0;
+	const caller = {
+		call: async (method: string, path: string, body: unknown) => {
+			const answer = await service.handle(method, path, body, "me");
+			if (heldMs > 0) await new Promise<void>((resolve) => time.after(heldMs, resolve));
+			return answer;
+		},
+		close() {},
+	};
+	const replica = new Replica();
+	const store = new StoreClient(caller, time, 1000, 1000, 1);
+	const copy = new LocalCopy(replica, store, time, (command) => command(), quiet);
+	copy.start();
+	await time.advance(8000);
+	assert.ok(time.now() - copy.knownAt <= 5100, "two waits of a watch at most");
+	heldMs = 5000;
+	await time.advance(10_000);
+	assert.ok(time.now() - copy.heardAt < 10_000, "answers do come");
+	assert.ok(time.now() - copy.knownAt >= 5000, `known up to ${copy.knownAt} at ${time.now()}`);
+	copy.stop();
+});
+
+test("a node names every cancellation since an epoch that it can have told of, or says that it cannot", () => {
+	const replica = new Replica();
+	const cancelled = (id: string, revision: number) =>
+		replica.applyOwn(keys.final(id), { status: "cancelled", tasks: 2, done: 0 }, revision);
+	assert.equal(replica.cancelledSince(0), null, "nothing is loaded");
+	const spec = specOf("j-000001");
+	replica.reset([{ key: keys.job("j-000001"), value: { spec, at: 0 }, revision: 8 }], 10);
+	assert.equal(
+		replica.cancelledSince(9),
+		null,
+		"an earlier process may have told of what came before the load",
+	);
+	cancelled("j-000001", 12);
+	assert.ok(
+		!replica.jobs.has("j-000001"),
+		"a job whose end is known is not live, whatever the watch has brought",
+	);
+	cancelled("j-000002", 14);
+	const since = (epoch: number) => replica.cancelledSince(epoch)?.map((job) => job.id);
+	assert.deepEqual(since(10), ["j-000001", "j-000002"]);
+	assert.deepEqual(since(12), ["j-000002"]);
+	replica.reset([], 15);
+	assert.deepEqual(since(10), ["j-000001", "j-000002"], "a copy made anew forgets nothing that was told");
+	for (let i = 0; i < 2000; i++) cancelled(`j-${i + 100}`, 20 + i);
+	assert.equal(since(10), undefined, "too many to keep");
+	assert.equal(since(19)?.length, 2000);
+});
+
 test("a campaign without an answer is decided by reading the key back", async () => {
 	const mine = candidate([]);
 	mine.leadership.releaseStartHold();
--- a/tests/support/state-service.ts
+++ b/tests/support/state-service.ts
@@ -22,7 +22,7 @@
 	private readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
 	private nextLease = 1;
 	/** Nobody is served, and leases do not run out. */
-	private outage = false;
+	outage = false;
 	/** These are refused while the others are served; their leases run out. */
 	readonly refused = new Set<string>();
 
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
-import { withoutStoreMs } from "../src/coordination/controller.js";
+import { unknowingMs } from "../src/coordination/controller.js";
 import { parseOperator } from "../src/protocol/operator.js";
 import { parsePlatform } from "../src/protocol/settings.js";
 import { parseJob, parseReport } from "../src/protocol/wire.js";
@@ -260,9 +260,9 @@
 test("authority without the store, a worker's lease and a margin end within cancel_s", () => {
 	const platform = parsePlatform("s.toml", settings);
 	const { cancel_s, lease_s } = platform.cluster.workers;
-	assert.ok(withoutStoreMs(platform) / 1000 + lease_s * 1.001 + 2 < cancel_s);
+	assert.ok(unknowingMs(platform) / 1000 + lease_s * 1.001 + 2 < cancel_s);
 	const tight = parsePlatform("s.toml", settings.replace("cancel_s = 37.0", "cancel_s = 11.0"));
-	assert.equal(withoutStoreMs(tight), 0);
+	assert.equal(unknowingMs(tight), 0);
 });
 
 function run(args: string[]): Promise<{ code: number; out: string; err: string }> {
