--- a/tests/support/network.ts
+++ b/tests/support/network.ts
@@ -18,6 +18,10 @@
 export class FakeNetwork {
 	/** Asked for every call; tests set it. */
 	fault: (from: string, to: string, method: string, path: string) => LinkFault = () => ({});
+	/** Transactions that get no answer and are carried out so much later; asked for each. */
+	lateWrites: () => number | null = () => null;
+	/** Every answer of the state service takes so much longer. */
+	slowStateMs = 0;
 	private readonly down = new Set<string>();
 
 	constructor(
@@ -50,7 +54,10 @@
 		body: unknown,
 		deadlineMs: number,
 	): Promise<Answer> {
-		const fault = this.fault(from, to, method, path);
+		const lateMs = to === "state" && path === "/multi" ? this.lateWrites() : null;
+		const fault =
+			lateMs === null ? this.fault(from, to, method, path) : { delayMs: lateMs, loseAnswer: true };
+		const slowMs = to === "state" ? this.slowStateMs : 0;
 		const copy = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
 		return new Promise((resolve, reject) => {
 			const fail = (kind: "refused" | "unknown", why: string) =>
@@ -66,7 +73,7 @@
 				const answer = await handler(method, path, copy, from);
 				if (fault.loseAnswer || this.down.has(from)) return;
 				const wire = JSON.parse(JSON.stringify(answer)) as Answer;
-				this.time.after(this.latencyMs, () => resolve(wire));
+				this.time.after(this.latencyMs + slowMs, () => resolve(wire));
 			});
 		});
 	}
--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -35,6 +35,8 @@
 	cut = false;
 	/** Its reports arrive, but neither answers nor orders reach it. */
 	deaf = false;
+	/** Reaches no controller, while direct orders reach it. */
+	mute = false;
 	/** Fails every task at once. */
 	sick = false;
 	recallAt: number | null = null;
@@ -53,6 +55,11 @@
 		this.step();
 	}
 
+	/** Up, and to be reached both ways. */
+	get well(): boolean {
+		return !this.dead && !this.cut && !this.mute && !this.deaf && !this.sick && this.hung === null;
+	}
+
 	hang(): void {
 		this.hung ??= [];
 	}
@@ -129,7 +136,8 @@
 		this.nextAt = sentAt + this.world.reportS * 1000;
 		const node = this.world.nodes[this.node % this.world.nodes.length] as string;
 		const body = this.show();
-		const answer = this.cut ? await this.silence() : await this.world.send(this, node, body);
+		const unreached = this.cut || this.mute;
+		const answer = unreached ? await this.silence() : await this.world.send(this, node, body);
 		await new Promise<void>((resolve) => this.awake(resolve));
 		// Hearing nothing, it gives up after the time it waits for an answer.
 		const deaf = this.deaf;
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -163,6 +163,11 @@
 	/** Seconds after which copies of every report arrive once more, at the node it was sent to. */
 	copiesAfterS: number[] = [];
 
+	/** Since when a job waits though something could run, troubles aside. */
+	private readonly waitingSince = new Map<string, number>();
+	/** By trace: troubles that no stand-in shows, such as faults on links. */
+	troubled = false;
+
 	constructor(
 		capacity = 4,
 		readonly nodes: string[] = nodeNames,
@@ -193,6 +198,7 @@
 		});
 		this.workerWorld.nodes.push(...nodes);
 		for (const node of nodes) this.start(node);
+		this.watchWaiting();
 	}
 
 	private readonly workerWorld: WorkerWorld = {
@@ -375,6 +381,60 @@
 		this.checkQuota(String(body.desk));
 	}
 
+	/**
+	 * Troubles over, no job waits for 90 s while a machine that fits has room and its team
+	 * is under its limit. What counts is the machines themselves, not what a leader thinks of them.
+	 */
+	private watchWaiting(): void {
+		this.time.after(1000, () => {
+			const now = this.time.now();
+			const troubled =
+				this.troubled ||
+				this.state.outage ||
+				this.state.refused.size > 0 ||
+				this.cloud.outage ||
+				this.cutLinks.size > 0 ||
+				this.processes.size === 0;
+			for (const [id, job] of this.jobs) {
+				if (troubled || !this.couldStart(id, job)) this.waitingSince.delete(id);
+				else if (!this.waitingSince.has(id)) this.waitingSince.set(id, now);
+				else if (now - (this.waitingSince.get(id) as number) > 90_000) {
+					this.waitingSince.delete(id);
+					this.broken.push(`waited: ${id} for 90 s, though a machine has room`);
+				}
+			}
+			this.watchWaiting();
+		});
+	}
+
+	private couldStart(id: string, { body, told, cancelledAt }: KnownJob): boolean {
+		if (told.size === 0 || cancelledAt !== null) return false;
+		let left = false;
+		for (let i = 0; i < body.pieces; i++) {
+			if (this.on.has(`${id}/${i}`)) return false;
+			left ||= !this.finished.has(`${id}/${i}`);
+		}
+		const used = new Map<string, number>();
+		let ofTeam = 0;
+		for (const [piece, host] of this.on) {
+			const other = this.jobs.get(piece.split("/")[0] as string)?.body;
+			if (!other) continue;
+			used.set(host, (used.get(host) ?? 0) + other.cores);
+			if (other.desk === body.desk) ofTeam += other.cores;
+		}
+		if (!left || ofTeam + body.cores > (teams[String(body.desk)] ?? 0)) return false;
+		for (const [host, worker] of this.workers) {
+			if (!worker.well || worker.recallAt !== null || !this.cloud.hosts.has(host)) continue;
+			const cores = this.cloud.types.find((t) => t.sku === worker.shape)?.cores ?? 0;
+			const allowed =
+				(!Array.isArray(body.shapes) || body.shapes.includes(worker.shape)) &&
+				(typeof body.hall !== "string" || body.hall === worker.hall) &&
+				(body.loaners === true || !worker.loaners);
+			if (allowed && (used.get(host) ?? 0) + body.cores <= cores) return true;
+		}
+		return false;
+	}
+
 	private checkZones(id: string, body: KnownJob["body"]): void {
 		const zones = new Map<string, number>();
 		for (const [piece, host] of this.on) {
@@ -403,7 +463,7 @@
 		if (done.some((p) => p.piece === piece && p.cause === "done")) this.finished.add(piece);
 	}
 
-	/** A cancelled job's tasks must be gone; called at the end of a trace and whenever it wants. */
+	/** A cancelled job's tasks must be gone; called at the end of a trace, and in time after each cancellation. */
 	checkCancelled(): void {
 		for (const piece of this.on.keys()) {
 			const job = this.jobs.get(piece.split("/")[0] as string);
@@ -413,6 +473,12 @@
 		}
 	}
 
+	private noteCancelled(job: KnownJob): void {
+		if (job.cancelledAt !== null) return;
+		job.cancelledAt = this.time.now();
+		this.time.after(37_001, () => this.checkCancelled());
+	}
+
 	// --- users ---
 
 	/** Troubles over, every job that was accepted is answered for within 75 s, each for itself. */
@@ -503,7 +569,7 @@
 				this.broken.push(`went_back: ${id} ${final} then ${status}`);
 		}
 		job.told.add(status);
-		if (status === "cancelled") job.cancelledAt ??= this.time.now();
+		if (status === "cancelled") this.noteCancelled(job);
 		if (status !== "done") return;
 		for (let i = 0; i < job.body.pieces; i++) {
 			if (!this.finished.has(`${id}/${i}`)) this.broken.push(`not_done: ${id}/${i}`);
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -32,8 +32,14 @@
 	/** No machine of the zone reaches a controller. */
 	cut_zone?: string;
 	heal?: string;
-	/** The task's machine hears nothing from now on. */
-	deaf?: string;
+	/** The machine of each of these tasks hears nothing from now on. */
+	deaf?: string | string[];
+	/** These machines reach no controller, while direct orders reach them. */
+	mute?: string[];
+	/** Of the transactions sent from now on every n-th gets no answer and is carried out later; 0: none. */
+	late_writes?: { every: number; late_s: number };
+	/** Answers of the state service take so long. */
+	slow_state_ms?: number;
 	/** Every report arrives again after so many seconds. */
 	copies?: number[];
 	die?: string;
@@ -67,6 +73,8 @@
 	/** Played once more with reports received by all controllers. */
 	relayed?: boolean;
 	steps: Step[];
+	/** Each is played by itself, with these steps among the others. */
+	variants?: Record<string, Step[]>;
 }
 
 // Compiled tests run from target/tests/tests; traces stay in the source tree.
@@ -74,10 +82,20 @@
 
 for (const file of readdirSync(folder).sort()) {
 	const trace = parse(readFileSync(new URL(file, folder), "utf8")) as Trace;
-	test(`${file}: ${trace.title}`, () => play(trace, false));
-	if (trace.relayed) test(`${file}, reports received by all controllers`, () => play(trace, true));
+	const stories = Object.entries(trace.variants ?? { "": [] });
+	for (const [variant, more] of stories) {
+		const steps = [...trace.steps, ...more].sort((a, b) => a.at - b.at);
+		const name = variant === "" ? trace.title : `${trace.title}; ${variant}`;
+		test(`${file}: ${name}`, () => play({ ...trace, steps }, false));
+		if (!trace.relayed) continue;
+		const relayed = `${file}${variant === "" ? "" : `: ${variant}`}, reports received by all controllers`;
+		test(relayed, () => play({ ...trace, steps }, true));
+	}
 }
 
+/** Steps that make links fail until `no_faults`. */
+const linkFaults = ["cut_workers", "lose_answers", "hold_zone"] as const;
+
 async function play(trace: Trace, relayed: boolean): Promise<void> {
 	const nodes = Array.from({ length: trace.controllers ?? 3 }, (_, i) => `runner-${i}`);
 	const world = new World(trace.capacity, nodes, relayed);
@@ -131,8 +149,15 @@
 		}
 		if (step.cut) world.workerOf(step.cut).cut = true;
 		for (const w of world.workers.values()) if (w.hall === step.cut_zone) w.cut = true;
-		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = false;
-		if (step.deaf) world.workerOf(step.deaf).deaf = true;
+		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = w.mute = false;
+		for (const piece of step.mute ?? []) world.workerOf(piece).mute = true;
+		if (step.late_writes) {
+			const { every, late_s } = step.late_writes;
+			let n = 0;
+			world.network.lateWrites = () => (every > 0 && ++n % every === 0 ? late_s * 1000 : null);
+		}
+		if (step.slow_state_ms !== undefined) world.network.slowStateMs = step.slow_state_ms;
+		for (const piece of [step.deaf ?? []].flat()) world.workerOf(piece).deaf = true;
 		if (step.copies) world.copiesAfterS = step.copies;
 		if (step.die) world.workerOf(step.die).die();
 		if (step.sick) world.workerOf(step.sick).sick = true;
@@ -158,6 +183,7 @@
 					: {};
 		}
 		if (step.no_faults) world.network.fault = () => ({});
+		world.troubled = !step.no_faults && (world.troubled || linkFaults.some((key) => key in step));
 		if (step.expect) {
 			checks += 1;
 			await check(world, step.expect, named);
