--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -35,6 +35,8 @@
 	finishedSeconds = 0;
 	/** Machines on which tasks of this job failed since one last succeeded. */
 	readonly failedOn = new Set<string>();
+	/** Steady time of the last of these failures. */
+	failedAt = -Infinity;
 	notBefore = 0;
 	/** Steady time until which the leader places it, whoever its team's placer is. */
 	placedHereUntil = 0;
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -30,6 +30,8 @@
 	answeredAt: number;
 	/** Steady time at which it was last told to report to another controller. */
 	sentAwayAt = -Infinity;
+	/** Steady time at which it was last put on trial or set aside. */
+	judgedAt = -Infinity;
 	/** Marked by the hill climb to drain and go back. */
 	marked = false;
 	/** Set aside as faulty, sick or slow. */
@@ -78,14 +80,41 @@
 
 	/** Counts as capacity that is there or on its way. */
 	get counts(): boolean {
-		return (
-			!this.lost &&
-			!this.marked &&
-			!this.faulty &&
-			!this.returning &&
-			this.deafAt === null &&
-			this.takenAt === null
-		);
+		return !this.marked && this.sound;
+	}
+
+	/** What was decided for it may still be started: nothing but the hill climb's mark is in the way. */
+	get takesDecided(): boolean {
+		return this.up && this.confirmed && this.durable && this.sound;
+	}
+
+	private get sound(): boolean {
+		return !this.lost && !this.faulty && !this.returning && this.deafAt === null && this.takenAt === null;
+	}
+
+	/** After a failure: one task at a time, until one has succeeded or the trial is over. */
+	putOnTrial(now: number): void {
+		this.suspect = true;
+		this.judgedAt = now;
+	}
+
+	/** Takes nothing new; it goes back once it is empty. */
+	setAside(now: number): void {
+		this.faulty = true;
+		this.judgedAt = now;
+	}
+
+	/**
+	 * Trouble ends, and the tasks that are here may run for long: so a trial ends by itself,
+	 * and a machine set aside that could not go back yet gets another.
+	 */
+	forgive(now: number): void {
+		if (this.faulty && now - this.judgedAt > asideMs) {
+			this.faulty = false;
+			this.failedJobs.clear();
+			this.runs = 0;
+			this.putOnTrial(now);
+		} else if (this.suspect && now - this.judgedAt > trialMs) this.suspect = false;
 	}
 
 	get hourlyPrice(): number {
@@ -137,6 +166,9 @@
 	}
 }
 
+const asideMs = 40_000;
+const trialMs = 20_000;
+
 /** Fewer runs than this say nothing about a machine's speed: tasks of one job differ by half. */
 const runsToJudge = 10;
 /** Machines of one type differ by a tenth. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -42,6 +42,8 @@
 const deafPatienceMs = 5000;
 /** The cloud's own bound. */
 const mostPerCall = 50;
+/** A job of which nothing runs has waited so long when a marked machine is asked for room. */
+const waitsBesideMarkedMs = 20_000;
 /** Machines of a zone that is cut off are waited for this many times as long. */
 const zonePatience = 4;
 
@@ -156,17 +158,18 @@
 		const n = counted.length;
 		const unitS = this.unitS();
 		const work = this.remainingWork(now, unitS);
-		const oldest = this.oldestWaiting(now);
+		const grow = () => {
+			if (!this.anyWaiting(now) || this.unmark(work, unitS, n, cpus)) return;
+			for (const job of this.waitingByAge(now))
+				if (this.rentFor(job, work, unitS, n, cpus, now) !== "nothing to be had") return;
+		};
+		// With nothing to run, no machine is kept; the first job to wait rents one.
 		if (n === 0) {
-			// With nothing to run, no machine is kept; the first job to wait rents one.
-			if (oldest && !this.unmark(work, unitS, n, cpus)) this.rentFor(oldest, work, unitS, n, cpus, now);
-			return;
-		}
-		const unheld = this.unheldJob(counted, now);
-		if (unheld) {
-			this.rentFor(unheld, 0, unitS, n, cpus, now);
+			grow();
 			return;
 		}
+		if (this.serveUnheld(counted, unitS, n, cpus, now)) return;
+		this.unmarkForWaiting(now);
 		const { counters, action } = climb(
 			this.counters,
 			loadOf(work, n),
@@ -177,29 +180,87 @@
 		this.counters = counters;
 		if (action !== "up" && counters.up === 0) this.patience = 0;
 		this.log.debug({ work: Math.round(work), n, cpus, ...counters, action }, "round");
-		if (action === "up") {
-			if (!this.unmark(work, unitS, n, cpus) && oldest) this.rentFor(oldest, work, unitS, n, cpus, now);
-		} else if (action === "down") this.mark(counted, work, unitS, cpus, now);
+		if (action === "up") grow();
+		else if (action === "down") this.mark(counted, work, unitS, cpus, now);
+	}
+
+	/** Its tasks wait, and may run now. */
+	private mayRun(job: Job, now: number): boolean {
+		const { team, cpus, gpus } = job.spec;
+		return job.waiting.length > 0 && job.notBefore <= now && this.tables.quotas.fitsLimit(team, cpus, gpus);
 	}
 
-	/** The oldest job with waiting tasks that may run now, urgent ones first. */
-	private oldestWaiting(now: number): Job | null {
-		let best: Job | null = null;
+	private anyWaiting(now: number): boolean {
+		for (const job of this.tables.jobs.values()) if (this.mayRun(job, now)) return true;
+		return false;
+	}
+
+	/**
+	 * Jobs that machines can be rented for, oldest first: where nothing is to be had for the
+	 * oldest, the next may want another type or zone. Of jobs with the same demands one stands
+	 * for all; what fails everywhere comes last.
+	 */
+	private waitingByAge(now: number): Job[] {
+		const byDemand = new Map<string, Job>();
+		const before = (a: Job, b: Job) => (a.doomed === b.doomed ? a.at < b.at : b.doomed);
 		for (const job of this.tables.jobs.values()) {
-			if (job.waiting.length === 0 || job.notBefore > now || job.doomed) continue;
-			if (!this.tables.quotas.fitsLimit(job.spec.team, job.spec.cpus, job.spec.gpus)) continue;
-			if (!best || job.at < best.at) best = job;
+			if (!this.mayRun(job, now)) continue;
+			const { types, zone, spot, cpus, gpus, memoryGb } = job.spec;
+			const demand = JSON.stringify([types, zone, spot, cpus, gpus, memoryGb]);
+			const best = byDemand.get(demand);
+			if (!best || before(job, best)) byDemand.set(demand, job);
 		}
-		return best;
+		return [...byDemand.values()].sort((a, b) => (before(a, b) ? -1 : 1));
 	}
 
-	private unheldJob(counted: Machine[], now: number): Job | null {
+	/**
+	 * For a job that no counted machine could hold one is unmarked or rented, and that is this
+	 * round. Where neither can be had the round goes on: the others want machines too. What
+	 * failed everywhere may do so no more, and is tried again as well.
+	 */
+	private serveUnheld(counted: Machine[], unitS: number, n: number, cpus: number, now: number): boolean {
 		for (const job of this.tables.jobs.values()) {
-			if (job.waiting.length === 0 || job.notBefore > now || job.doomed) continue;
-			const held = counted.some((m) => machineAllowed(job.spec, m) && tasksHeld(job.spec, m.type) > 0);
-			if (!held) return job;
+			if (job.waiting.length === 0 || job.notBefore > now) continue;
+			if (counted.some((m) => couldHold(m, job))) continue;
+			if (this.rental || this.unmarkFor(job)) return true;
+			if (this.rentFor(job, 0, unitS, n, cpus, now) === "asked") return true;
+		}
+		return false;
+	}
+
+	/** Takes back the mark of a machine with room for the job; false if there is none. */
+	private unmarkFor(job: Job): boolean {
+		const { spec } = job;
+		for (const machine of this.tables.machines.values()) {
+			if (!machine.marked || machine.returning) continue;
+			machine.marked = false;
+			const room =
+				machine.counts &&
+				machineAllowed(spec, machine) &&
+				machine.freeCpus >= spec.cpus &&
+				machine.freeGpus >= spec.gpus &&
+				machine.freeMemory >= spec.memoryGb;
+			if (!room) {
+				machine.marked = true;
+				continue;
+			}
+			this.tables.changed = true;
+			this.log.info({ machines: [machine.id], job: job.id }, "unmarked");
+			return true;
+		}
+		return false;
+	}
+
+	/**
+	 * Tasks on a marked machine may run for long. Work that waits all that time, though the load
+	 * is below the high mark, is let in.
+	 */
+	private unmarkForWaiting(now: number): void {
+		for (const job of this.tables.jobs.values()) {
+			if (job.waiting.length === 0 || job.attempts.size > 0) continue;
+			if (now - Math.max(job.knownAt, job.failedAt) < waitsBesideMarkedMs) continue;
+			if (this.mayRun(job, now) && this.unmarkFor(job)) return;
 		}
-		return null;
 	}
 
 	/** Takes marks back until the load is down to the high mark; false if there was none. */
@@ -235,29 +296,42 @@
 			.sort((a, b) => a.worth - b.worth);
 		const leaving = ranked.map((r) => r.machine.type.cpus);
 		const k = machinesToSpare(work, counted.length, cpus, leaving, this.settings.climb.low * unitS);
-		const marked = ranked.slice(0, k).map((r) => r.machine);
+		const marked = new Set(ranked.slice(0, k).map((r) => r.machine));
+		// Rented because nothing else could hold some work, a machine is the idlest of all until it is up.
+		for (const job of this.tables.jobs.values()) {
+			if (job.waiting.length === 0) continue;
+			if (counted.some((m) => !marked.has(m) && couldHold(m, job))) continue;
+			const holder = counted.find((m) => couldHold(m, job));
+			if (holder) marked.delete(holder);
+		}
+		if (marked.size === 0) return;
 		for (const machine of marked) machine.marked = true;
-		this.log.info({ machines: marked.map((m) => m.id) }, "marked to drain and return");
+		this.log.info({ machines: [...marked].map((m) => m.id) }, "marked to drain and return");
 	}
 
-	private rentFor(job: Job | null, work: number, unitS: number, n: number, cpus: number, now: number): void {
-		if (this.rental) return;
+	private rentFor(
+		job: Job,
+		work: number,
+		unitS: number,
+		n: number,
+		cpus: number,
+		now: number,
+	): "asked" | "not now" | "nothing to be had" {
+		if (this.rental) return "not now";
 		const most = this.settings.climb.most_machines;
-		if (most > 0 && n >= most) return;
+		if (most > 0 && n >= most) return "not now";
 		const usable = this.usableCpus();
-		if (n > 0 && work > 0 && cpus >= usable) return;
-		const offers = job
-			? rankOffers(
-					offersFor(job.spec, [...this.tables.types.values()]),
-					job.spec,
-					Math.max(usable - cpus, job.spec.cpus),
-				)
-			: cheapest(this.tables.types.values());
+		if (n > 0 && work > 0 && cpus >= usable) return "not now";
+		const offers = rankOffers(
+			offersFor(job.spec, [...this.tables.types.values()]),
+			job.spec,
+			Math.max(usable - cpus, job.spec.cpus),
+		);
 		const open = offers.filter(
 			(o) => !this.cutOff.has(o.zone) && (this.refusedUntil.get(offerKey(o)) ?? 0) <= now,
 		);
 		const offer = open[0];
-		if (!offer) return;
+		if (!offer) return "nothing to be had";
 		// Dear machines are rented only when the load stays high for longer, by as much as they cost more.
 		const dearness = pricePerCpu(offer) / pricePerCpu(offers[0] as Offer);
 		this.patience += 1;
@@ -267,7 +341,7 @@
 			dearness > dearFrom &&
 			this.patience <= 2 * dearness * this.settings.climb.up_past
 		)
-			return;
+			return "not now";
 		this.patience = 0;
 		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, mostPerCall);
 		// Cores beyond what the teams' limits allow would stand idle.
@@ -287,6 +361,7 @@
 			firstSentAt: now,
 		};
 		this.sendRental(this.rental);
+		return "asked";
 	}
 
 	private sendRental(rental: Rental): void {
@@ -491,6 +566,11 @@
 	}
 }
 
+/** Whether the machine, empty, could hold a task of the job. */
+function couldHold(machine: Machine, job: Job): boolean {
+	return machineAllowed(job.spec, machine) && tasksHeld(job.spec, machine.type) > 0;
+}
+
 function remainingOf(
 	attempt: { runningAt: number | null; job: Job },
 	now: number,
@@ -505,14 +585,3 @@
 function pricePerCpu(offer: Offer): number {
 	return offer.price / offer.type.cpus;
 }
-
-function cheapest(types: Iterable<MachineType>): Offer[] {
-	const offers: Offer[] = [];
-	for (const type of types) {
-		for (const zone of type.zones) {
-			offers.push({ type, zone, spot: true, price: type.spotPrice });
-			offers.push({ type, zone, spot: false, price: type.price });
-		}
-	}
-	return offers.sort((a, b) => a.price - b.price);
-}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -13,7 +13,14 @@
 import { drift } from "./leadership.js";
 import { servingOrder, starved } from "./ordering.js";
 import { placerOf } from "./parting.js";
-import { type Grant, type Placement, placeFirstFit, sampled, type ViewMachine } from "./placing.js";
+import {
+	type Grant,
+	type Placement,
+	placeable,
+	placeFirstFit,
+	sampled,
+	type ViewMachine,
+} from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { chooseVictims } from "./preemption.js";
 import { Presence } from "./presence.js";
@@ -57,6 +64,8 @@
 const placedHereMs = 5000;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
+/** So long a job keeps off machines on which it failed. */
+const avoidMs = 20_000;
 /** How often `tick` is called. */
 export const tickMs = 100;
 const preemptAfterMs = 700;
@@ -325,7 +334,7 @@
 				// Enough runs for a mean, mostly on other machines.
 				if (job.finishedRuns >= 4) noteRun(machine, seconds, job.estimateS);
 				if (!machine.faulty && muchTooSlow(machine, this.tables.machines.values())) {
-					machine.faulty = true;
+					machine.setAside(now);
 					this.ports.log.info({ machine: machine.id, ratio: machine.runRatio }, "set aside as much too slow");
 				}
 				job.finishedRuns += 1;
@@ -339,15 +348,16 @@
 		if (cause !== "error" && cause !== "unknown") return;
 		this.ports.log.info({ machine: machine.id, job: job.id, task: attempt.index, cause }, "task failed");
 		job.failedOn.add(machine.id);
+		job.failedAt = now;
 		if (job.doomed) {
 			// It fails everywhere: tried again with growing pauses.
 			job.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - 3));
 		}
 		if (cause === "error") {
-			machine.suspect = true;
+			machine.putOnTrial(now);
 			machine.failedJobs.add(job.id);
 			if (machine.failedJobs.size >= this.settings.machines.faulty_after && !machine.faulty) {
-				machine.faulty = true;
+				machine.setAside(now);
 				this.ports.log.info({ machine: machine.id }, "set aside as faulty");
 			}
 		}
@@ -548,6 +558,7 @@
 		const deaf: Machine[] = [];
 		for (const machine of this.tables.machines.values()) {
 			if (machine.deafAt !== null && !machine.returning) deaf.push(machine);
+			if (machine.faulty || machine.suspect) machine.forgive(now);
 			if (machine.lost || !(machine.up || this.tables.hidden.has(machine))) continue;
 			if (now - machine.answeredAt <= certainMs) continue;
 			const n = this.tables.expire(machine);
@@ -766,6 +777,27 @@
 		const taken = new Map<string, { cpus: number; gpus: number }>();
 		const grants = new Map<Job, number>();
 		const date = this.ports.time.date().getTime();
+		// Room promised to work that cannot use it would be kept from work that can.
+		const usable = new Map<string, number>();
+		const usableTasks = (job: Job): number => {
+			const { spec } = job;
+			const zoneRule = spec.oneZone || spec.spread;
+			const key = JSON.stringify([
+				spec.cpus,
+				spec.memoryGb,
+				spec.gpus,
+				spec.types,
+				spec.zone,
+				spec.spot,
+				zoneRule ? job.id : "",
+			]);
+			let n = usable.get(key);
+			if (n === undefined) {
+				n = placeable(spec, zoneRule ? this.tables.zonesOf(job) : {}, views);
+				usable.set(key, n);
+			}
+			return n;
+		};
 		const passes = [
 			{ jobs: jobs.filter((job) => starved(job, date)), most: 1, guarantee: false },
 			{ jobs, most: Number.POSITIVE_INFINITY, guarantee: true },
@@ -780,6 +812,7 @@
 				const waiting = Math.min(job.waiting.length, job.doomed ? 1 : most);
 				let n = Math.min(waiting - already, quotas.room(spec.team, spec.cpus, spec.gpus, guarantee, extra));
 				n = Math.min(n, Math.ceil(freeCpus / spec.cpus));
+				if (n > 0) n = Math.min(n, usableTasks(job) - already);
 				if (n <= 0) continue;
 				grants.set(job, already + n);
 				taken.set(spec.team, { cpus: extra.cpus + n * spec.cpus, gpus: extra.gpus + n * spec.gpus });
@@ -791,7 +824,8 @@
 			grant: {
 				job: job.id,
 				count,
-				avoid: job.doomed ? [] : [...job.failedOn],
+				// For a while only: there may be no others, and what was wrong there may be over.
+				avoid: job.doomed || now - job.failedAt > avoidMs ? [] : [...job.failedOn],
 				zones: job.spec.oneZone || job.spec.spread ? this.tables.zonesOf(job) : {},
 			},
 		}));
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -55,6 +55,23 @@
 	return Math.max(0, n);
 }
 
+/** Tasks of the job that the machines could take, whatever else may want the same room. */
+export function placeable(spec: JobSpec, zones: Record<string, number>, machines: ViewMachine[]): number {
+	const byZone = new Map<string, number>();
+	for (const m of machines) {
+		const n = fits(spec, m);
+		if (n > 0) byZone.set(m.zone, (byZone.get(m.zone) ?? 0) + n);
+	}
+	let sum = 0;
+	let most = 0;
+	for (const [zone, n] of byZone) {
+		const room = Math.min(n, zoneRoom(spec, zones, zone));
+		sum += room;
+		most = Math.max(most, room);
+	}
+	return spec.oneZone ? most : sum;
+}
+
 /** With very many machines a sample stands for them. */
 export function sampled<T>(all: T[], most: number, random: RandomGenerator): T[] {
 	if (all.length <= most) return all;
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -231,8 +231,9 @@
 	for (const attempt of [...machine.attempts.values()]) {
 		const { job, index, number } = attempt;
 		if (attempt.phase === "assigned") {
-			// Since the decision the machine may have been closed or the job ended.
-			if (!machine.open || attempt.stop !== null || job.cancelled) tables.over(attempt);
+			// Since the decision the machine may have been closed or the job ended. One that was marked
+			// meanwhile runs this first: work that fits nowhere else would be put off again and again.
+			if (!machine.takesDecided || attempt.stop !== null || job.cancelled) tables.over(attempt);
 			else {
 				attempt.phase = "sent";
 				starts.push({ op: "start", job: job.id, index, attempt: number });
--- a/tests/support/cloud.ts
+++ b/tests/support/cloud.ts
@@ -25,6 +25,8 @@
 	private readonly answered = new Map<string, string[]>();
 	private next = 0;
 	outage = false;
+	/** Zones in which nothing is to be had. */
+	readonly full = new Set<string>();
 	/** Every rental request name ever seen, with how often it rented. */
 	readonly requests = new Map<string, number>();
 
@@ -80,7 +82,7 @@
 		if (before) return { status: 200, body: { hosts: before } };
 		const type = this.types.find((t) => t.sku === request.shape);
 		if (!type) return { status: 400, body: {} };
-		const n = Math.min(request.count, this.capacity - this.hosts.size);
+		const n = this.full.has(request.hall) ? 0 : Math.min(request.count, this.capacity - this.hosts.size);
 		if (n <= 0) return { status: 503, body: { error: "no capacity" } };
 		this.requests.set(request.hire, (this.requests.get(request.hire) ?? 0) + 1);
 		const ids: string[] = [];
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -43,9 +43,12 @@
 	/** Every report arrives again after so many seconds. */
 	copies?: number[];
 	die?: string;
-	sick?: string;
+	/** The machines of these tasks fail whatever starts there, until all are healed. */
+	sick?: string | string[];
 	taken?: { piece: string; in_s: number };
 	cloud_outage?: boolean;
+	/** From now on nothing can be rented in this zone. */
+	zone_full?: string;
 	lose_answers?: { to: string; path: string; method?: string };
 	no_faults?: boolean;
 	expect?: Expectation;
@@ -149,7 +152,7 @@
 		}
 		if (step.cut) world.workerOf(step.cut).cut = true;
 		for (const w of world.workers.values()) if (w.hall === step.cut_zone) w.cut = true;
-		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = w.mute = false;
+		if (step.heal === "all") for (const w of world.workers.values()) w.cut = w.deaf = w.mute = w.sick = false;
 		for (const piece of step.mute ?? []) world.workerOf(piece).mute = true;
 		if (step.late_writes) {
 			const { every, late_s } = step.late_writes;
@@ -160,13 +163,14 @@
 		for (const piece of [step.deaf ?? []].flat()) world.workerOf(piece).deaf = true;
 		if (step.copies) world.copiesAfterS = step.copies;
 		if (step.die) world.workerOf(step.die).die();
-		if (step.sick) world.workerOf(step.sick).sick = true;
+		for (const piece of [step.sick ?? []].flat()) world.workerOf(piece).sick = true;
 		if (step.taken) {
 			const worker = world.workerOf(step.taken.piece);
 			worker.recallAt = world.time.now() + step.taken.in_s * 1000;
 			world.time.after(step.taken.in_s * 1000, () => world.cloud.remove(worker.host));
 		}
 		if (step.cloud_outage !== undefined) world.cloud.outage = step.cloud_outage;
+		if (step.zone_full) world.cloud.full.add(step.zone_full);
 		if (step.cut_workers) {
 			cutFromWorkers = named(step.cut_workers);
 			const cut = (from: string, to: string) =>
