--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -80,7 +80,7 @@
 export function typeFits(spec: JobSpec, type: MachineType): boolean {
 	return (
 		(spec.types === null || spec.types.includes(type.name)) &&
-		(spec.zone === null || type.zones.length === 0 || type.zones.includes(spec.zone)) &&
+		type.zones.some((zone) => spec.zone === null || spec.zone === zone) &&
 		type.cpus >= spec.cpus &&
 		type.gpus >= spec.gpus &&
 		type.memoryGb >= spec.memoryGb
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -116,6 +116,7 @@
 			store,
 			time,
 			new Map(platform.cluster.teams.map((team) => [team.name, team])),
+			platform.cluster.zones,
 			platform.cluster.state.value_kb,
 			(command) => this.mailbox.ask(command),
 			(id) => (this.leader ? this.leader.runningCount(id) : (this.running.get(id) ?? 0)),
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -1,7 +1,7 @@
 import { typeFits } from "../bookkeeping/jobs.js";
 import { type FinalRecord, type JobRecord, keys } from "../bookkeeping/records.js";
 import type { Replica } from "../bookkeeping/replica.js";
-import type { JobSpec, JobStatus } from "../protocol/model.js";
+import type { JobSpec, JobStatus, MachineType } from "../protocol/model.js";
 import type { TeamSettings } from "../protocol/settings.js";
 import type { LocalCopy } from "./local-copy.js";
 import { CallFailed, type StorePort, type TimePort } from "./ports.js";
@@ -15,13 +15,17 @@
 export type Submitted =
 	| { kind: "accepted" | "known"; status: JobStatus }
 	| { kind: "impossible"; reason: string }
+	| { kind: "malformed"; reason: string }
 	| { kind: "later"; reason: string };
 
 export type Looked = ({ kind: "job" } & JobState) | { kind: "unknown" } | { kind: "later"; reason: string };
 
 const notNow = { kind: "later", reason: "the state service does not answer for now" } as const;
 
-/** Why a job can never run here, or null. */
+/**
+ * Why a job can never run here, or null. Zone rules alone never make an array impossible: its
+ * tasks need not run at the same time, so one zone takes half of them after the other.
+ */
 export function impossible(
 	spec: JobSpec,
 	team: TeamSettings | undefined,
@@ -47,6 +51,8 @@
 		private readonly store: StorePort,
 		private readonly time: TimePort,
 		private readonly teams: Map<string, TeamSettings>,
+		/** Empty: not told. */
+		private readonly zones: readonly string[],
 		private readonly valueKb: number,
 		private readonly enqueue: <T>(command: () => T) => Promise<T>,
 		private readonly running: (id: string) => number,
@@ -63,13 +69,10 @@
 				return { kind: "later", reason: "the machine types are not known yet" };
 			}
 			const record: JobRecord = { spec, at: this.time.date().getTime() };
-			const size = Buffer.byteLength(JSON.stringify(record));
-			const reason =
-				impossible(spec, this.teams.get(spec.team), types) ??
-				(size > this.valueKb * 1024 ? "the job's description is too long to be kept" : null);
-			if (reason !== null) {
+			const refused = this.refusal(record, types);
+			if (refused) {
 				const known = await this.lookOnce(spec.id);
-				return known ? { kind: "known", status: known.status } : { kind: "impossible", reason };
+				return known ? { kind: "known", status: known.status } : refused;
 			}
 			const key = keys.job(spec.id);
 			const result = await this.store.transact(
@@ -88,6 +91,19 @@
 		}
 	}
 
+	private refusal(record: JobRecord, types: MachineType[]): Submitted | null {
+		const { spec } = record;
+		// A zone that does not exist is a mistake in the field; one that offers no fitting type is not.
+		if (spec.zone !== null && this.zones.length > 0 && !this.zones.includes(spec.zone)) {
+			return { kind: "malformed", reason: `field "hall": there is no zone "${spec.zone}"` };
+		}
+		const size = Buffer.byteLength(JSON.stringify(record));
+		const reason =
+			impossible(spec, this.teams.get(spec.team), types) ??
+			(size > this.valueKb * 1024 ? "the job's description is too long to be kept" : null);
+		return reason === null ? null : { kind: "impossible", reason };
+	}
+
 	private async known(id: string): Promise<Submitted> {
 		const state = await this.lookOnce(id);
 		return state
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -91,6 +91,16 @@
 	return raw as Record<string, unknown>;
 }
 
+/** The id of a submission that may be malformed otherwise; null if it has none. */
+export function jobIdOf(body: string): string | null {
+	try {
+		const { id } = JSON.parse(body) as { id?: unknown };
+		return v.is(jobId, id) ? id : null;
+	} catch {
+		return null;
+	}
+}
+
 export function isJobId(id: string): boolean {
 	return v.is(jobId, id);
 }
--- a/src/transport/front-server.ts
+++ b/src/transport/front-server.ts
@@ -9,6 +9,7 @@
 	elsewhereBody,
 	isJobId,
 	jobAnswer,
+	jobIdOf,
 	Malformed,
 	ordersBody,
 	parseJob,
@@ -68,9 +69,20 @@
 	app.post(paths.jobs, async (c) => {
 		const body = await bodyText(c.req.raw);
 		if (body === null) return tooLarge();
-		const spec = parseJob(body);
+		let spec: JobSpec;
+		try {
+			spec = parseJob(body);
+		} catch (error) {
+			// Whatever is wrong with it, a submission that names an accepted job is told how that is.
+			const id = jobIdOf(body);
+			const known = id === null ? null : await service.look(id);
+			if (known?.kind === "job") return Response.json(jobAnswer(id as string, known.status));
+			throw error;
+		}
 		const result = await service.submit(spec);
 		switch (result.kind) {
+			case "malformed":
+				return failure(400, result.reason);
 			case "accepted":
 				return Response.json(jobAnswer(spec.id, result.status), { status: 201 });
 			case "known":
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -6,9 +6,16 @@
 import { Machine, muchTooSlow, noteRun } from "../src/bookkeeping/machines.js";
 import { Quotas } from "../src/bookkeeping/quotas.js";
 import { countInPage, TaskSet, tasksPerPage } from "../src/bookkeeping/task-set.js";
+import { Fleet } from "../src/coordination/fleet.js";
 import { servingOrder, starved } from "../src/coordination/ordering.js";
 import { placerOf } from "../src/coordination/parting.js";
-import { type Grant, placeFirstFit, sampled, type ViewMachine } from "../src/coordination/placing.js";
+import {
+	type Grant,
+	placeable,
+	placeFirstFit,
+	sampled,
+	type ViewMachine,
+} from "../src/coordination/placing.js";
 import { chooseVictims } from "../src/coordination/preemption.js";
 import {
 	climb,
@@ -21,6 +28,8 @@
 } from "../src/coordination/scaling.js";
 import { Tables } from "../src/coordination/tables.js";
 import type { JobSpec, MachineType, Priority } from "../src/protocol/model.js";
+import { defaultOperator } from "../src/protocol/operator.js";
+import { FakeTime } from "./support/fake-time.js";
 import { specOf } from "./support/specs.js";
 
 const small: MachineType = {
@@ -143,6 +152,87 @@
 	assert.deepEqual(placed, [{ job: "j", machine: "n-2", count: 1 }]);
 });
 
+test("what machines could take of a job is counted by every demand and zone rule together", () => {
+	const view = (zone: string, cpus: number, memory: number, spot = true): ViewMachine => ({
+		id: `${zone}-${cpus}`,
+		type: "small",
+		zone,
+		spot,
+		cpus,
+		gpus: 0,
+		memory,
+		slots: 100,
+		images: [],
+	});
+	const views = [view("a", 4, 16), view("a", 2, 1), view("b", 3, 16, false)];
+	const count = (more: Partial<JobSpec>, zones = {}) =>
+		placeable(specOf("j-1", { tasks: 8, cpus: 1, memoryGb: 2, ...more }), zones, views);
+	assert.equal(count({}), 7, "not where memory is short");
+	assert.equal(count({ zone: "c" }), 0);
+	assert.equal(count({ spot: false }), 3);
+	assert.equal(count({ oneZone: true }), 4);
+	assert.equal(count({ oneZone: true }, { b: 1 }), 3);
+	assert.equal(count({ spread: true, tasks: 4 }, { a: 1 }), 3, "one more in a, two in b");
+});
+
+test("work that waits beside a marked machine with room has its mark taken back, in time", async () => {
+	const time = new FakeTime();
+	const tables = tablesWith(4, 16);
+	const [first] = [...tables.machines.values()] as [Machine];
+	const busy = tables.addJob("j-1", specOf("j-1", { tasks: 3, cpus: 4, estimateS: 300 }), 0, 1);
+	busy.fillWaiting();
+	// What runs is nearly done, so that the load lies between the marks and the counters do nothing.
+	for (const machine of [...tables.machines.values()].slice(1)) {
+		const attempt = tables.decide(busy, machine);
+		if (attempt) attempt.runningAt = -1e6;
+	}
+	first.marked = true;
+	const waits = tables.addJob(
+		"j-2",
+		specOf("j-2", { team: "blue", tasks: 1, cpus: 4, estimateS: 300 }),
+		0,
+		2,
+	);
+	waits.fillWaiting();
+	const fleet = new Fleet(
+		tables,
+		{
+			machineTypes: async () => [],
+			rent: async () => [],
+			giveBack: async () => {},
+			list: async () => ({ machines: [], more: false }),
+		},
+		time,
+		defaultOperator(),
+		1000,
+		10_000,
+		"r",
+		{ post: (run) => run(), authority: () => true, gone() {} },
+		{ error() {}, info() {}, debug() {} },
+	);
+	// Held: its one task runs, so nothing returns it while it is marked.
+	first.hold("j-9/0", {
+		job: busy,
+		index: 99,
+		number: 1,
+		machine: first,
+		phase: "running",
+		runningAt: 0,
+		stop: null,
+	});
+	first.usedCpus = 0;
+	const run = async (ms: number) => {
+		for (let t = 0; t < ms; t += 500) {
+			fleet.tick();
+			await time.advance(500);
+		}
+	};
+	await run(18_000);
+	assert.ok(first.marked, "it may still come in elsewhere");
+	await run(4000);
+	assert.ok(!first.marked);
+});
+
 test("a sample holds distinct machines and no more than asked for", () => {
 	const all = Array.from({ length: 50 }, (_, i) => i);
 	const some = sampled(all, 10, xoroshiro128plus(3));
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -63,6 +63,29 @@
 	assert.deepEqual(world.broken, []);
 });
 
+test("cancellation, question and repeated submission at the very end of the last task: one end, and every answer agrees", async () => {
+	const ends = new Set<string>();
+	for (let offsetMs = -100; offsetMs <= 1500; offsetMs += 100) {
+		const world = new World();
+		await world.time.advance(2000);
+		await world.submit("runner-0", { ...job, pieces: 1 });
+		for (let i = 0; i < 2000 && !world.running("j-000001/0"); i++) await world.time.advance(10);
+		await world.time.advance(8000 + offsetMs);
+		const requests = nodeNames.flatMap((node) =>
+			(["poll", "abort", "repeat", "poll"] as const).map((kind) => ({ node, id: job.id, kind })),
+		);
+		const statuses = await world.together(requests);
+		assert.ok(
+			statuses.every((status) => status === 200),
+			`offset ${offsetMs}: ${statuses}`,
+		);
+		for (const node of nodeNames) await world.poll(node, job.id);
+		assert.deepEqual(world.broken, [], `offset ${offsetMs}`);
+		ends.add(final(world)?.status ?? "none");
+	}
+	assert.deepEqual([...ends].sort(), ["cancelled", "done"], "the offsets lie on both sides of the end");
+});
+
 test("submissions of one job to all nodes make one job; a known id is answered before any check", async () => {
 	const world = new World();
 	await world.time.advance(2000);
--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -87,6 +87,22 @@
 	assert.notEqual(tables.decide(job, machine), null);
 });
 
+test("a machine marked to drain between a decision and its report still gets the start", () => {
+	const { tables, job } = fresh();
+	applyReport(tables, report(1), 0);
+	const machine = tables.machines.get("n-1");
+	assert.ok(machine);
+	machine.durable = true;
+	tables.decide(job, machine);
+	machine.marked = true;
+	assert.equal(ordersFor(tables, machine).length, 1);
+	assert.equal(tables.decide(job, machine), null, "nothing new is decided for it");
+	machine.marked = false;
+	tables.decide(job, machine);
+	machine.faulty = true;
+	assert.deepEqual(ordersFor(tables, machine), [], "on one set aside for failing nothing starts");
+});
+
 test("a start whose answer was lost is sent again with the same number", () => {
 	const { tables, machine, attempt } = withOneSent();
 	applyReport(tables, report(2), 100);
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -30,8 +30,8 @@
 	guess_s?: number;
 	bookmark_s?: number;
 	due_s?: number | null;
-	/** Not on the wire: how long each task really runs. */
-	runs?: number;
+	/** Not on the wire: how long its tasks really run, all alike or one by one. */
+	runs?: number | number[];
 }
 
 /** What users read of an answer. */
@@ -42,7 +42,7 @@
 
 interface KnownJob {
 	body: Record<string, unknown> & { pieces: number; cores: number };
-	runs: number;
+	runs: number | number[];
 	cancelledAt: number | null;
 	told: Set<string>;
 }
@@ -205,7 +205,11 @@
 		reportS: 1,
 		leaseS: 10,
 		nodes: [],
-		runSeconds: (piece) => this.jobs.get(piece.split("/")[0] as string)?.runs ?? null,
+		runSeconds: (piece) => {
+			const [id, index] = piece.split("/") as [string, string];
+			const runs = this.jobs.get(id)?.runs ?? null;
+			return Array.isArray(runs) ? (runs[Number(index)] ?? null) : runs;
+		},
 		started: (worker, piece) => this.started(worker, piece),
 		ended: (worker, piece) => this.ended(worker, piece),
 		send: (worker, node, body) => this.sendReport(worker, node, body),
@@ -512,6 +516,32 @@
 		return answer ?? { status: 0, body: {} };
 	}
 
+	/** Requests of one moment to several nodes; each answer is told to the checker as it comes. */
+	async together(
+		requests: { node: string; id: string; kind: "poll" | "abort" | "repeat" }[],
+	): Promise<number[]> {
+		const statuses: number[] = requests.map(() => 0);
+		requests.forEach(({ node, id, kind }, i) => {
+			const process = this.processes.get(node);
+			const body = JSON.stringify(this.jobs.get(id)?.body);
+			const [path, init] = {
+				poll: [`/v1/jobs/${id}`, {}],
+				abort: [`/v1/jobs/${id}/abort`, { method: "POST" }],
+				repeat: ["/v1/jobs", { method: "POST", body }],
+			}[kind] as [string, RequestInit];
+			process?.gate.pass(() => {
+				Promise.resolve(process.app.request(path, init)).then(async (response) => {
+					statuses[i] = response.status;
+					const answer = (await response.json()) as UserAnswer;
+					if (response.status === 200) this.tell(id, answer.status ?? "");
+					else if (response.status !== 503) this.broken.push(`${kind} of ${id}: ${response.status}`);
+				});
+			});
+		});
+		await this.time.advance(5000);
+		return statuses;
+	}
+
 	/** Makes a job known to the checker that comes into the store by another way. */
 	expectJob(job: JobBody): void {
 		const body = { desk: "red", loaners: true, ...job };
@@ -534,7 +564,7 @@
 			loaners: true,
 			bundle: "img",
 			image_gb: 1,
-			guess_s: runs,
+			guess_s: Array.isArray(runs) ? Math.max(...runs) : runs,
 			bookmark_s: 0,
 			bookmark_cost_s: 0,
 			due_s: null,
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -7,6 +7,8 @@
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { unknowingMs } from "../src/coordination/controller.js";
+import { impossible } from "../src/coordination/job-service.js";
+import type { JobSpec, MachineType } from "../src/protocol/model.js";
 import { parseOperator } from "../src/protocol/operator.js";
 import { parsePlatform } from "../src/protocol/settings.js";
 import { parseJob, parseReport } from "../src/protocol/wire.js";
@@ -15,6 +17,8 @@
 import { FrameReader, frame } from "../src/transport/peer-link.js";
 import { TokenBucket } from "../src/transport/token-bucket.js";
 import { version } from "../src/version.js";
+import { specOf } from "./support/specs.js";
+import { World } from "./support/world.js";
 
 const root = fileURLToPath(new URL("../../../", import.meta.url));
 const quiet = { error() {}, info() {}, debug() {} };
@@ -98,6 +102,26 @@
 		["form", "ensemble", /"form" must be/],
 		["shapes", [], /"shapes" must not be empty/],
 		["loaners", null, /"loaners" must be true or false/],
+		["loaners", 1, /"loaners" must be true or false/],
+		["pieces", -4, /"pieces" must be at least 1/],
+		["pieces", "16", /"pieces" must be a number/],
+		["pieces", [16], /"pieces" must be a number/],
+		["cores", "NaN", /"cores" must be a number/],
+		["cores", null, /"cores" must be a number/],
+		["guess_s", 0, /"guess_s" must be above 0/],
+		["due_s", -1, /"due_s" must be above 0/],
+		["bookmark_s", -1, /"bookmark_s" must not be negative/],
+		["image_gb", {}, /"image_gb" must be a number/],
+		["accelerators", true, /"accelerators" must be a number/],
+		["shapes", "g8", /"shapes" must be a list or null/],
+		["shapes", [8], /"shapes\.0" must be a string/],
+		["hall", 3, /"hall" must be a string/],
+		["hall", "", /"hall" must not be empty/],
+		["desk", "", /"desk" must not be empty/],
+		["lane", undefined, /"lane" is missing/],
+		["bundle", null, /"bundle" must be a string/],
+		["spread", "yes", /"spread" must be true or false/],
+		["urgency", null, /"urgency" must be/],
 	];
 	for (const [field, value, expected] of wrong) {
 		assert.throws(() => parseJob(JSON.stringify({ ...job, [field]: value })), expected);
@@ -135,6 +159,63 @@
 	assert.throws(() => parseReport('{"host":"n-1"}'), /"pieces" must be a list/);
 });
 
+test("a submission is judged by every demand together; a known one is answered whatever is in it", async () => {
+	const type = (
+		name: string,
+		cpus: number,
+		memoryGb: number,
+		gpus: number,
+		zones: string[],
+	): MachineType => ({
+		name,
+		cpus,
+		gpus,
+		memoryGb,
+		cacheGb: 50,
+		fetchGbPerS: 1,
+		price: 1,
+		spotPrice: 1,
+		bootS: 30,
+		zones,
+	});
+	const types = [
+		type("wide", 16, 32, 0, ["a"]),
+		type("deep", 4, 128, 2, ["b"]),
+		type("nowhere", 64, 512, 8, []),
+	];
+	const team = { name: "red", cpus: 4, cpus_max: 20, gpus: 0, gpus_max: 4 };
+	const why = (more: Partial<JobSpec>) => impossible(specOf("j-1", { cpus: 2, ...more }), team, types);
+	assert.equal(why({}), null);
+	assert.equal(why({ cpus: 16, zone: "a" }), null);
+	assert.match(
+		why({ cpus: 16, memoryGb: 64 }) as string,
+		/fits no allowed machine type/,
+		"no one type has both",
+	);
+	assert.match(why({ cpus: 16, zone: "b" }) as string, /fits no/, "the type is not offered in the zone");
+	assert.match(why({ gpus: 1, types: ["wide"] }) as string, /fits no/);
+	assert.match(why({ types: ["nowhere"] }) as string, /fits no/, "a type offered in no zone can't be rented");
+	assert.match(why({ cpus: 21 }) as string, /more than the limit/);
+	assert.match(impossible(specOf("j-1"), undefined, types) as string, /no team "red"/);
+	// Its tasks run half by half in the one zone, so this array can run (trace 47 plays its like).
+	assert.equal(why({ zone: "a", spread: true, oneZone: true }), null);
+
+	const app = frontApp(service, quiet);
+	const post = (body: unknown) => app.request("/v1/jobs", { method: "POST", body: JSON.stringify(body) });
+	assert.equal((await post({ ...job, id: "j-2", pieces: 0 })).status, 400);
+	const known = await post({ ...job, id: "j-1", pieces: 0 });
+	assert.deepEqual([known.status, await known.json()], [200, { id: "j-1", status: "running" }]);
+
+	const world = new World();
+	await world.time.advance(2000);
+	const small = { id: "j-000001", pieces: 1, cores: 1 };
+	const noZone = await world.submit("runner-0", { ...small, hall: "z" });
+	assert.equal(noZone.status, 400);
+	assert.match(noZone.body.error as string, /"hall": there is no zone "z"/);
+	assert.equal((await world.submit("runner-0", small)).status, 201);
+	assert.equal((await world.submit("runner-1", { ...small, hall: "z" })).status, 200, "known, whatever else");
+});
+
 test("the front answers every kind of request cleanly", async () => {
 	const app = frontApp(service, quiet);
 	const post = (path: string, body: string) => app.request(path, { method: "POST", body });
