Tasks of a job that is over count for their team until they are gone

What tasks of an ended job take is kept by the copy and in the record of the end; while unknown, nothing starts.

--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -1,6 +1,13 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
 import type { Attempt } from "./jobs.js";
 
+export interface UnwantedTask {
+	job: string;
+	index: number;
+	attempt: number;
+	demand: Demand | null;
+}
+
 /** A rented machine as its leader sees it. */
 export class Machine {
 	endpoint = "";
@@ -58,8 +65,8 @@
 	exited: { job: string; index: number; attempt: number; done: boolean }[] = [];
 	/** An exited attempt left unforgotten, to be forgotten when a report is wanted. */
 	handle: { job: string; index: number; attempt: number } | null = null;
-	/** Attempts that it lists and that nobody wants. */
-	unwanted: { job: string; index: number; attempt: number }[] = [];
+	/** Attempts that it lists and that nobody wants, with what they take, if that is known. */
+	unwanted: UnwantedTask[] = [];
 
 	constructor(
 		readonly id: string,
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -1,4 +1,4 @@
-import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
 
 /**
  * What is kept in the state service. Everything that changes while jobs live is
@@ -35,6 +35,12 @@
 	status: "done" | "cancelled";
 	tasks: number;
 	done: number;
+	/** What a task of it took, for leaders that meet one and never knew the job; not in records before 0.4.0. */
+	demand?: Demand;
+}
+
+export function demandOf({ team, cpus, gpus }: JobSpec): Demand {
+	return { team, cpus, gpus };
 }
 
 /** Several small records in one value, by their names. */
--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -1,6 +1,7 @@
-import type { MachineType } from "../protocol/model.js";
+import type { Demand, MachineType } from "../protocol/model.js";
 import type { StoreEvent, StoreRow } from "../protocol/wire.js";
 import {
+	demandOf,
 	type FinalRecord,
 	type JobRecord,
 	keys,
@@ -12,6 +13,13 @@
 } from "./records.js";
 import { countInPage } from "./task-set.js";
 
+/** Forgets the oldest beyond the number kept. */
+function trim(latest: Map<string, unknown>): void {
+	if (latest.size <= finalsKept) return;
+	const oldest = latest.keys().next().value;
+	if (oldest !== undefined) latest.delete(oldest);
+}
+
 export interface Versioned<T> {
 	value: T;
 	revision: number;
@@ -49,6 +57,8 @@
 	private readonly cancelled = new Map<string, CancelledJob>();
 	/** Cancellations up to this revision are not, or no longer, kept one by one. */
 	private cancelledAfter = Number.POSITIVE_INFINITY;
+	/** What tasks of jobs took that were live here and are over, the latest last. */
+	private readonly demands = new Map<string, Demand>();
 	private readonly listeners: ((key: string) => void)[] = [];
 
 	onChange(listener: (key: string) => void): void {
@@ -122,7 +132,7 @@
 		const older = (entry: Versioned<unknown> | null | undefined) => !!entry && entry.revision <= revision;
 		if (key.startsWith(keys.jobs)) {
 			const id = key.slice(keys.jobs.length);
-			if (older(this.jobs.get(id))) this.jobs.delete(id);
+			if (older(this.jobs.get(id))) this.dropLive(id);
 		} else if (key.startsWith(keys.progress)) {
 			const old = this.progress.get(key);
 			if (!older(old)) return;
@@ -161,12 +171,22 @@
 	/** Whoever brings the news, the job is no longer live: the watch may be stuck from here on. */
 	rememberFinal(id: string, record: FinalRecord, revision: number): void {
 		this.finals.set(id, record);
-		if (this.finals.size > finalsKept) {
-			const oldest = this.finals.keys().next().value;
-			if (oldest !== undefined) this.finals.delete(oldest);
-		}
+		trim(this.finals);
 		if (record.status === "cancelled") this.noteCancelled({ id, record, revision });
-		if (this.jobs.delete(id)) this.notify(keys.job(id));
+		if (this.dropLive(id)) this.notify(keys.job(id));
+	}
+
+	private dropLive(id: string): boolean {
+		const live = this.jobs.get(id);
+		if (!live) return false;
+		this.demands.set(id, demandOf(live.value.spec));
+		trim(this.demands);
+		return this.jobs.delete(id);
+	}
+
+	/** What a task of a job that is over takes; null: this process cannot say without asking the store. */
+	demandOf(id: string): Demand | null {
+		return this.demands.get(id) ?? this.finals.get(id)?.demand ?? null;
 	}
 
 	private noteCancelled(job: CancelledJob): void {
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -1,5 +1,5 @@
 import { typeFits } from "../bookkeeping/jobs.js";
-import { type FinalRecord, type JobRecord, keys } from "../bookkeeping/records.js";
+import { demandOf, type FinalRecord, type JobRecord, keys } from "../bookkeeping/records.js";
 import type { Replica } from "../bookkeeping/replica.js";
 import type { JobSpec, JobStatus, MachineType } from "../protocol/model.js";
 import type { TeamSettings } from "../protocol/settings.js";
@@ -132,6 +132,7 @@
 					status: "cancelled",
 					tasks: record.value.spec.tasks,
 					done: state.done,
+					demand: demandOf(record.value.spec),
 				};
 				const result = await this.store.transact(
 					[{ key: keys.job(id), revision: record.revision }],
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,7 +1,14 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
-import { Machine, muchTooSlow, noteRun } from "../bookkeeping/machines.js";
-import { type FinalRecord, keys, type MachineRecord, pageName, pageOf } from "../bookkeeping/records.js";
+import { Machine, muchTooSlow, noteRun, type UnwantedTask } from "../bookkeeping/machines.js";
+import {
+	demandOf,
+	type FinalRecord,
+	keys,
+	type MachineRecord,
+	pageName,
+	pageOf,
+} from "../bookkeeping/records.js";
 import type { Replica } from "../bookkeeping/replica.js";
 import { tasksPerPage } from "../bookkeeping/task-set.js";
 import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
@@ -95,6 +102,8 @@
 	private nextPreemption = 0;
 	private nextProgress = 0;
 	private nextAudit = 0;
+	/** Jobs whose end is being read, or was. */
+	private readonly lookingUp = new Set<string>();
 	private readonly leaseMs: number;
 	private readonly ledger: SharedRecords<MachineRecord>;
 	private readonly progress: SharedRecords<string>;
@@ -115,7 +124,8 @@
 		const { cluster } = platform;
 		this.leaseMs = cluster.workers.lease_s * 1000;
 		const certainMs = this.leaseMs * (1 + 2 * drift) + expiryMarginMs;
-		this.tables = new Tables(epoch, cluster.teams, new Map(types.map((t) => [t.name, t])), certainMs);
+		const byName = new Map(types.map((t) => [t.name, t]));
+		this.tables = new Tables(epoch, cluster.teams, byName, certainMs, (job) => replica.demandOf(job));
 		this.fleet = new Fleet(
 			this.tables,
 			ports.cloud,
@@ -311,9 +321,11 @@
 	private apply(report: WorkerReport): Applied["kind"] {
 		const { tables, ports } = this;
 		const now = ports.time.now();
+		const toldBefore = tables.machines.get(report.machine)?.unwanted ?? [];
 		const applied = applyReport(tables, report, now);
 		if (applied.kind !== "applied") return applied.kind;
 		const { machine } = applied;
+		if (machine.unwanted.length > 0) this.stopUnwanted(machine, toldBefore);
 		machine.onlyListed = false;
 		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
 		for (const outcome of applied.outcomes) this.settle(outcome, now);
@@ -326,6 +338,39 @@
 		return "applied";
 	}
 
+	/**
+	 * What nobody wants is told to stop at once, also where no answer goes: a machine may have
+	 * been asked straight. Until it is gone its team's cores are taken, or, where the job was
+	 * over before this process knew of it, nothing starts until its end has been read.
+	 */
+	private stopUnwanted(machine: Machine, toldBefore: UnwantedTask[]): void {
+		const told = new Set(toldBefore.map((t) => `${t.job}/${t.index}/${t.attempt}`));
+		const orders = machine.unwanted
+			.filter((t) => !told.has(`${t.job}/${t.index}/${t.attempt}`))
+			.map(({ job, index, attempt }): Order => ({ op: "stop", job, index, attempt, graceS: 0 }));
+		if (orders.length > 0) this.order(machine, orders);
+		for (const job of this.tables.strangeJobs()) this.lookUpEnd(job);
+	}
+
+	private lookUpEnd(id: string): void {
+		if (this.lookingUp.has(id)) return;
+		this.lookingUp.add(id);
+		this.ports.store.read(keys.final(id)).then(
+			({ row }) =>
+				this.ports.post(() => {
+					if (row) this.replica.rememberFinal(id, row.value as FinalRecord, row.revision);
+					this.tables.resolveStrange(id);
+				}),
+			() =>
+				this.ports.time.after(500, () =>
+					this.ports.post(() => {
+						this.lookingUp.delete(id);
+						if (this.active && this.tables.strangeJobs().has(id)) this.lookUpEnd(id);
+					}),
+				),
+		);
+	}
+
 	private settle({ attempt, cause }: Outcome, now: number): void {
 		const { job, machine } = attempt;
 		if (cause === "done") {
@@ -445,7 +490,13 @@
 		if (this.ended || job.cancelled) return;
 		// Tried again all along while the store is away, so the audit leaves it alone.
 		job.endingAt = this.ports.time.now();
-		const value: FinalRecord = { status: "done", tasks: job.spec.tasks, done: job.spec.tasks };
+		const { spec } = job;
+		const value: FinalRecord = {
+			status: "done",
+			tasks: spec.tasks,
+			done: spec.tasks,
+			demand: demandOf(spec),
+		};
 		const changes: StoreChange[] = [{ delete: keys.job(job.id) }, { put: keys.final(job.id), value }];
 		const conditions = [this.leaderCondition(), { key: keys.job(job.id), revision: job.revision }];
 		this.ports.store.transact(conditions, changes, "first").then(
@@ -515,12 +566,14 @@
 		if (!this.active) return;
 		const byMachine = new Map<Machine, Attempt[]>();
 		for (const a of attempts) byMachine.set(a.machine, [...(byMachine.get(a.machine) ?? []), a]);
-		for (const [machine, list] of byMachine) {
-			if (machine.endpoint === "" || machine.lost) continue;
-			this.ports.workers
-				.command(machine.endpoint, this.epoch, machine.session, stopsFor(list))
-				.catch((error) => this.ports.log.debug({ machine: machine.id, err: String(error) }, "stop not sent"));
-		}
+		for (const [machine, list] of byMachine) this.order(machine, stopsFor(list));
+	}
+
+	private order(machine: Machine, orders: Order[]): void {
+		if (!this.active || machine.endpoint === "" || machine.lost) return;
+		this.ports.workers
+			.command(machine.endpoint, this.epoch, machine.session, orders)
+			.catch((error) => this.ports.log.debug({ machine: machine.id, err: String(error) }, "stop not sent"));
 	}
 
 	// --- time ---
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -77,7 +77,7 @@
 	const listed = new Set<string>();
 	let startSeen = false;
 	machine.exited = [];
-	machine.unwanted = [];
+	tables.clearUnwanted(machine);
 	for (const task of report.tasks) {
 		const attempt = machine.attempts.get(taskKey(task.job, task.index));
 		if (attempt && attempt.number === task.attempt) {
@@ -197,7 +197,7 @@
 		// report may have listed that one again after a change of leader.
 		(other === undefined || other.number < task.attempt);
 	if (!wanted) {
-		machine.unwanted.push({ job: task.job, index: task.index, attempt: task.attempt });
+		tables.addUnwanted(machine, { job: task.job, index: task.index, attempt: task.attempt });
 		return false;
 	}
 	if (other) tables.over(other);
--- a/src/coordination/tables.ts
+++ b/src/coordination/tables.ts
@@ -1,9 +1,10 @@
 import type { Attempt } from "../bookkeeping/jobs.js";
 import { Job } from "../bookkeeping/jobs.js";
-import { type Machine, machineAllowed } from "../bookkeeping/machines.js";
+import { type Machine, machineAllowed, type UnwantedTask } from "../bookkeeping/machines.js";
 import { Quotas, type TeamLimits } from "../bookkeeping/quotas.js";
+import { demandOf } from "../bookkeeping/records.js";
 import { tasksPerPage } from "../bookkeeping/task-set.js";
-import type { JobSpec, MachineType } from "../protocol/model.js";
+import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
 import { zoneRoom } from "./placing.js";
 
 /** Attempts of one epoch; beyond them the leader must get itself a new epoch. */
@@ -26,6 +27,8 @@
 	changed = false;
 	/** Machines that may hold tasks of an earlier leader and have not been heard. */
 	private readonly unheard = new Set<Machine>();
+	/** Machines with tasks of jobs of which nothing is known, and how many. */
+	private readonly strange = new Map<Machine, number>();
 
 	constructor(
 		readonly epoch: number,
@@ -33,6 +36,8 @@
 		readonly types: Map<string, MachineType>,
 		/** A lease renewed this long ago, or earlier, has certainly run out. */
 		readonly certainMs = Number.POSITIVE_INFINITY,
+		/** What a task of a job that is over takes; null: not known. */
+		private readonly demandOf: (job: string) => Demand | null = () => null,
 	) {
 		this.quotas = new Quotas(teams);
 	}
@@ -41,9 +46,61 @@
 		return this.counter >= attemptsPerEpoch - 1;
 	}
 
-	/** Every machine that may hold tasks of an earlier leader has been heard or waited out. */
+	/**
+	 * Every machine that may hold tasks of an earlier leader has been heard or waited out, and
+	 * it is known whose cores all tasks take that were found.
+	 */
 	get rebuilt(): boolean {
-		return this.unheard.size === 0;
+		return this.unheard.size === 0 && this.strange.size === 0;
+	}
+
+	/**
+	 * A task that nobody wants takes its team's cores until it is proved gone, such as one of a job
+	 * that was cancelled while nobody led. Of a job unknown here anything may be at its limit.
+	 */
+	addUnwanted(machine: Machine, task: Omit<UnwantedTask, "demand">): void {
+		const spec = this.jobs.get(task.job)?.spec;
+		const demand = spec ? demandOf(spec) : this.demandOf(task.job);
+		machine.unwanted.push({ ...task, demand });
+		this.count(machine, demand, 1);
+	}
+
+	clearUnwanted(machine: Machine): void {
+		for (const { demand } of machine.unwanted) this.count(machine, demand, -1);
+		machine.unwanted = [];
+	}
+
+	private count(machine: Machine, demand: Demand | null, sign: 1 | -1): void {
+		this.changed = true;
+		if (demand && sign > 0) this.quotas.add(demand.team, demand.cpus, demand.gpus);
+		else if (demand) this.quotas.remove(demand.team, demand.cpus, demand.gpus);
+		else {
+			const n = (this.strange.get(machine) ?? 0) + sign;
+			if (n > 0) this.strange.set(machine, n);
+			else this.strange.delete(machine);
+		}
+	}
+
+	/** Jobs of tasks of which it is not known what they take. */
+	strangeJobs(): Set<string> {
+		const jobs = new Set<string>();
+		for (const machine of this.strange.keys())
+			for (const task of machine.unwanted) if (task.demand === null) jobs.add(task.job);
+		return jobs;
+	}
+
+	/** It has become known what tasks of a job take. */
+	resolveStrange(job: string): void {
+		const demand = this.demandOf(job);
+		if (demand === null) return;
+		for (const machine of [...this.strange.keys()]) {
+			for (const task of machine.unwanted) {
+				if (task.job !== job || task.demand !== null) continue;
+				this.count(machine, null, -1);
+				task.demand = demand;
+				this.count(machine, demand, 1);
+			}
+		}
 	}
 
 	/** Asked for every decision of a start, so it is kept and not searched for. */
@@ -192,7 +249,7 @@
 		for (const attempt of all) this.over(attempt);
 		this.heard(machine);
 		machine.exited = [];
-		machine.unwanted = [];
+		this.clearUnwanted(machine);
 		return all.length;
 	}
 
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -32,6 +32,9 @@
 	deadlineS: number | null;
 }
 
+/** What one task of a job takes, and of whose limit. */
+export type Demand = Pick<JobSpec, "team" | "cpus" | "gpus">;
+
 export type JobStatus = "pending" | "running" | "done" | "cancelled";
 
 export interface MachineType {
