--- a/tests/reports.test.ts
+++ b/tests/reports.test.ts
@@ -4,7 +4,7 @@
 import { Replica } from "../src/bookkeeping/replica.js";
 import { applyReport, ordersFor } from "../src/coordination/reports.js";
 import { Tables } from "../src/coordination/tables.js";
-import type { ReportedTask, WorkerReport } from "../src/protocol/model.js";
+import type { Demand, ReportedTask, WorkerReport } from "../src/protocol/model.js";
 import { specOf } from "./support/specs.js";
 
 const type = {
@@ -195,6 +195,32 @@
 	);
 });
 
+test("tasks of a job that is over take their team's cores until gone; of one unknown, nothing starts meanwhile", () => {
+	const known = new Map<string, Demand>();
+	const teams = [{ name: "red", cpus: 8, cpus_max: 8, gpus: 0, gpus_max: 0 }];
+	const types = new Map([["small", type]]);
+	const tables = new Tables(epoch, teams, types, 12_000, (id) => known.get(id) ?? null);
+	const job = tables.addJob("j-1", spec, 0, 1);
+	job.fillWaiting();
+	const gone = (index: number) => ({ ...task(index, 7, "running"), job: "j-9" });
+	applyReport(tables, report(1, [gone(0), gone(1)]), 0);
+	const machine = tables.machines.get("n-1");
+	assert.ok(machine);
+	machine.durable = true;
+	assert.deepEqual([...tables.strangeJobs()], ["j-9"]);
+	assert.equal(tables.decide(job, machine), null, "whose cores they take is not known");
+	known.set("j-9", { team: "red", cpus: 4, gpus: 0 });
+	tables.resolveStrange("j-9");
+	assert.equal(tables.quotas.use("red").cpus, 8);
+	assert.equal(tables.decide(job, machine), null, "they fill the limit");
+	applyReport(tables, report(2, [gone(1)]), 500);
+	assert.equal(tables.quotas.use("red").cpus, 4);
+	assert.notEqual(tables.decide(job, machine), null);
+	tables.expire(machine);
+	assert.equal(tables.quotas.use("red").cpus, 0);
+	assert.ok(tables.rebuilt);
+});
+
 test("the end of a job withdraws what is not sent and stops the rest until it is over", () => {
 	const { tables, job, machine, attempt } = withOneSent();
 	const second = tables.decide(job, machine);
--- a/tests/support/network.ts
+++ b/tests/support/network.ts
@@ -20,6 +20,8 @@
 	fault: (from: string, to: string, method: string, path: string) => LinkFault = () => ({});
 	/** Transactions that get no answer and are carried out so much later; asked for each. */
 	lateWrites: () => number | null = () => null;
+	/** Direct orders arrive so much later; questions without orders do not. */
+	lateOrdersMs = 0;
 	/** Every answer of the state service takes so much longer. */
 	slowStateMs = 0;
 	private readonly down = new Set<string>();
@@ -55,8 +57,10 @@
 		deadlineMs: number,
 	): Promise<Answer> {
 		const lateMs = to === "state" && path === "/multi" ? this.lateWrites() : null;
-		const fault =
-			lateMs === null ? this.fault(from, to, method, path) : { delayMs: lateMs, loseAnswer: true };
+		const lateWrite = lateMs === null ? null : { delayMs: lateMs, loseAnswer: true };
+		const fault: LinkFault = lateWrite ?? { ...this.fault(from, to, method, path) };
+		const orders = (body as { orders?: unknown[] } | undefined)?.orders?.length ?? 0;
+		if (path === "/commands" && orders > 0 && this.lateOrdersMs > 0) fault.delayMs ??= this.lateOrdersMs;
 		const slowMs = to === "state" ? this.slowStateMs : 0;
 		const copy = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
 		return new Promise((resolve, reject) => {
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -38,6 +38,8 @@
 	mute?: string[];
 	/** Of the transactions sent from now on every n-th gets no answer and is carried out later; 0: none. */
 	late_writes?: { every: number; late_s: number };
+	/** Direct orders are held up for so long. */
+	late_orders_s?: number;
 	/** Answers of the state service take so long. */
 	slow_state_ms?: number;
 	/** Every report arrives again after so many seconds. */
@@ -159,6 +161,7 @@
 			let n = 0;
 			world.network.lateWrites = () => (every > 0 && ++n % every === 0 ? late_s * 1000 : null);
 		}
+		if (step.late_orders_s !== undefined) world.network.lateOrdersMs = step.late_orders_s * 1000;
 		if (step.slow_state_ms !== undefined) world.network.slowStateMs = step.slow_state_ms;
 		for (const piece of [step.deaf ?? []].flat()) world.workerOf(piece).deaf = true;
 		if (step.copies) world.copiesAfterS = step.copies;
