The state service's limits to come hold from the start; larger values are split when next written

Settings state.next, partial or missing. Values of machine records and done-sets keep to the lesser limit; a stored value that is larger goes to new values first and is removed once all are written. A 400 for size makes values smaller and is logged with its keys; what can't be smaller is not tried again as it is.

--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -73,7 +73,9 @@
 		this.machines.clear();
 		this.leader = null;
 		this.types = null;
-		for (const row of rows) this.put(row.key, row.value, row.revision);
+		// Of two values that name one thing the later tells: a leader may have ended while it split one.
+		for (const row of [...rows].sort((a, b) => a.revision - b.revision))
+			this.put(row.key, row.value, row.revision);
 		this.epoch = epoch;
 		this.loaded = true;
 		this.cancelledAfter = Math.min(this.cancelledAfter, epoch);
@@ -152,7 +154,10 @@
 			const { job, page } = pageOf(name);
 			const pages = this.pages.get(job);
 			if (pages?.get(page) !== bits) continue;
-			pages.delete(page);
+			// It may have been copied from a value that was split, which now goes.
+			const copy = this.pageIn(name);
+			if (copy !== undefined) pages.set(page, copy);
+			else pages.delete(page);
 			if (pages.size === 0) this.pages.delete(job);
 		}
 		for (const [name, bits] of Object.entries(after.entries)) {
@@ -163,6 +168,16 @@
 		}
 	}
 
+	/** The page as the latest value that holds it has it. */
+	private pageIn(name: string): string | undefined {
+		let best: { bits: string; revision: number } | null = null;
+		for (const { value, revision } of this.progress.values()) {
+			const bits = value.entries[name];
+			if (bits !== undefined && (best === null || revision > best.revision)) best = { bits, revision };
+		}
+		return best?.bits;
+	}
+
 	/** Bitmaps of the pages of a job's done-set. */
 	pagesOf(id: string): Iterable<[number, string]> {
 		return this.pages.get(id) ?? [];
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -12,7 +12,15 @@
 import { LocalCopy } from "./local-copy.js";
 import { Mailbox } from "./mailbox.js";
 import { placeFirstFit } from "./placing.js";
-import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import {
+	CallFailed,
+	type CloudPort,
+	type Log,
+	type PeerPort,
+	type StorePort,
+	type TimePort,
+	type WorkerPort,
+} from "./ports.js";
 import { strayMs } from "./presence.js";
 import { AnswerBatches, Relay } from "./relay.js";
 
@@ -245,7 +253,14 @@
 		const value: TypesRecord = { types };
 		this.ports.store
 			.transact([{ key: keys.leader, revision: epoch }], [{ put: keys.types, value }], "first")
-			.catch(() => this.mailbox.post(() => (this.nextTypes = 0)));
+			.catch((error) =>
+				this.mailbox.post(() => {
+					// Too many types for one value: they are read from the cloud then, by each leader.
+					if (error instanceof CallFailed && error.kind === "rejected")
+						this.ports.log.error({ key: keys.types, err: error.message }, "not written");
+					else this.nextTypes = 0;
+				}),
+			);
 	}
 
 	// --- what comes in ---
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -28,7 +28,15 @@
 	sampled,
 	type ViewMachine,
 } from "./placing.js";
-import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import {
+	CallFailed,
+	type CloudPort,
+	type Log,
+	type PeerPort,
+	type StorePort,
+	type TimePort,
+	type WorkerPort,
+} from "./ports.js";
 import { chooseVictims } from "./preemption.js";
 import { Presence } from "./presence.js";
 import { type Applied, applyReport, type Outcome, ordersFor, stopsFor } from "./reports.js";
@@ -168,12 +176,15 @@
 			now: () => ports.time.now(),
 			lostKey: () => this.lostKey(),
 			failed: (error: unknown) => ports.log.debug({ err: String(error) }, "records not written"),
+			tooLarge: (tooLarge: string[], mostBytes: number) =>
+				ports.log.error({ keys: tooLarge, mostBytes }, "the state service refuses values: made smaller"),
 		};
 		const mostBytes = Math.floor(cluster.state.value_kb * 1024 * 0.8);
 		this.ledger = new SharedRecords(
 			keys.machines,
 			this.leaderCondition(),
 			mostBytes,
+			cluster.state.txn_ops,
 			ports.store,
 			{ ...shared, confirmed: (entries) => this.machinesDurable(entries.keys()) },
 			{ rateClass: "normal", everyMs: ledgerEveryMs, shrinkMs: 3000 },
@@ -182,6 +193,7 @@
 			keys.progress,
 			this.leaderCondition(),
 			mostBytes,
+			cluster.state.txn_ops,
 			ports.store,
 			{ ...shared, confirmed: (entries) => this.pagesDurable(entries) },
 			{ rateClass: "background", everyMs: progressEveryMs, shrinkMs: 5000 },
@@ -205,11 +217,11 @@
 	private rebuild(): void {
 		const { tables, replica, ports } = this;
 		const now = ports.time.now();
-		for (const [key, { value, revision }] of replica.progress) this.progress.load(key, value, revision);
+		this.progress.load(replica.progress);
 		for (const [id, record] of replica.jobs)
 			this.loadJob(id, record.value.spec, record.value.at, record.revision);
-		for (const [key, { value, revision }] of replica.machines) {
-			this.ledger.load(key, value, revision);
+		this.ledger.load(replica.machines);
+		for (const { value } of replica.machines.values()) {
 			for (const [id, record] of Object.entries(value.entries)) {
 				if (tables.machines.has(id)) continue;
 				const type = tables.types.get(record.type) ?? unknownType(record.type);
@@ -515,7 +527,12 @@
 					this.replica.applyOwn(keys.final(job.id), value, result.epoch);
 					this.jobEnded(job.id);
 				}),
-			() => this.ports.time.after(300, () => this.ports.post(() => this.writeFinal(job))),
+			(error) => {
+				// What the store will not take is left to the audit, and said.
+				const refused = error instanceof CallFailed && error.kind === "rejected";
+				if (refused) this.ports.log.error({ key: keys.final(job.id), err: error.message }, "not written");
+				else this.ports.time.after(300, () => this.ports.post(() => this.writeFinal(job)));
+			},
 		);
 	}
 
--- a/src/coordination/shared-records.ts
+++ b/src/coordination/shared-records.ts
@@ -1,6 +1,6 @@
 import type { SharedRecord } from "../bookkeeping/records.js";
 import type { StoreChange, StoreCondition } from "../protocol/wire.js";
-import type { RateClass, StorePort } from "./ports.js";
+import { CallFailed, type RateClass, type StorePort } from "./ports.js";
 
 interface Pack<V> {
 	readonly key: string;
@@ -12,6 +12,12 @@
 	fresh: Map<string, V>;
 	/** Entries were taken out, which can wait. */
 	shrunk: boolean;
+	/** Larger than a value may be: its entries have gone to these, and once all are written it goes. */
+	parts: Set<Pack<V>> | null;
+	/** The value that its entries were in before, if that was split. */
+	splitFrom: string | null;
+	/** The store has said no to it as it is. */
+	refused: boolean;
 }
 
 export interface SharedRecordsHooks<V> {
@@ -22,6 +28,8 @@
 	/** The store has confirmed these. */
 	confirmed(entries: Map<string, V>): void;
 	failed(error: unknown): void;
+	/** The store does not take these values: too large, though within the limits that were told. */
+	tooLarge(keys: string[], mostBytes: number): void;
 }
 
 export interface SharedRecordsPace {
@@ -32,6 +40,8 @@
 }
 
 const mostPerWrite = 3;
+/** Values are never tried smaller than this. */
+const leastBytes = 256;
 const mostBytesPerWrite = 40 * 1024;
 const retryMs = 300;
 
@@ -42,6 +52,11 @@
  * A put without an answer may be applied minutes late. Every write of a value is
  * therefore conditional on its last known revision, beside the leader's key: once a
  * later write has succeeded, no earlier one can bring back what the value held.
+ *
+ * A value that is larger than values may be by now stays as it is until it would be
+ * written again. Then its entries go to new values, and it is removed only once all of
+ * those are written: whoever reads at any moment finds every entry, the newer of two in
+ * the value with the later revision.
  */
 export class SharedRecords<V> {
 	private readonly packs = new Map<string, Pack<V>>();
@@ -54,19 +69,23 @@
 	constructor(
 		private readonly prefix: string,
 		private readonly leaderCondition: StoreCondition,
-		private readonly mostBytes: number,
+		private mostBytes: number,
+		/** Changes that one transaction may hold. */
+		private mostChanges: number,
 		private readonly store: StorePort,
 		private readonly hooks: SharedRecordsHooks<V>,
 		private readonly pace: SharedRecordsPace,
 	) {}
 
 	/** What the store held when the term began. */
-	load(key: string, record: SharedRecord<V>, revision: number): void {
-		const pack = this.newPack(key, revision);
-		for (const [name, value] of Object.entries(record.entries)) {
-			// Two values can name one thing only if a leader moved it; the copy is dropped.
-			if (this.home.has(name)) pack.shrunk = true;
-			else this.put(pack, name, value);
+	load(values: Iterable<[string, { value: SharedRecord<V>; revision: number }]>): void {
+		// Two values name one thing if a leader ended while it split one; the older copy is dropped.
+		for (const [key, { value, revision }] of [...values].sort((a, b) => b[1].revision - a[1].revision)) {
+			const pack = this.newPack(key, revision);
+			for (const [name, entry] of Object.entries(value.entries)) {
+				if (this.home.has(name)) pack.shrunk = true;
+				else this.put(pack, name, entry);
+			}
 		}
 	}
 
@@ -79,15 +98,44 @@
 		let pack = this.home.get(name);
 		if (!pack) {
 			for (const candidate of this.packs.values()) {
-				if (candidate.bytes + size <= this.mostBytes) {
+				if (candidate.parts === null && candidate.bytes + size <= this.mostBytes) {
 					pack = candidate;
 					break;
 				}
 			}
-			pack ??= this.newPack(`${this.prefix}${this.leaderCondition.revision}-${++this.made}`, 0);
+			pack ??= this.another();
 		}
 		this.put(pack, name, value);
 		pack.fresh.set(name, value);
+		pack.refused = false;
+	}
+
+	private another(): Pack<V> {
+		return this.newPack(`${this.prefix}${this.leaderCondition.revision}-${++this.made}`, 0);
+	}
+
+	private partsOf(key: string): Pack<V>[] {
+		return [...this.packs.values()].filter((pack) => pack.splitFrom === key);
+	}
+
+	/** Its entries go to new values, which are written like any other. */
+	private split(pack: Pack<V>): void {
+		const parts = new Set<Pack<V>>();
+		let part = this.another();
+		for (const [name, value] of pack.entries) {
+			if (part.entries.size > 0 && part.bytes + sizeOf(name, value) > this.mostBytes) part = this.another();
+			parts.add(part);
+			this.put(part, name, value);
+			const fresh = pack.fresh.get(name);
+			if (fresh !== undefined) part.fresh.set(name, fresh);
+			part.shrunk = true;
+		}
+		pack.parts = parts;
+		for (const made of parts) made.splitFrom = pack.key;
+		pack.entries.clear();
+		pack.fresh.clear();
+		pack.bytes = 0;
+		pack.shrunk = false;
 	}
 
 	delete(name: string): void {
@@ -101,7 +149,17 @@
 	}
 
 	private newPack(key: string, revision: number): Pack<V> {
-		const pack: Pack<V> = { key, revision, entries: new Map(), bytes: 0, fresh: new Map(), shrunk: false };
+		const pack: Pack<V> = {
+			key,
+			revision,
+			entries: new Map(),
+			bytes: 0,
+			fresh: new Map(),
+			shrunk: false,
+			parts: null,
+			splitFrom: null,
+			refused: false,
+		};
 		this.packs.set(key, pack);
 		return pack;
 	}
@@ -119,15 +177,22 @@
 		const now = this.hooks.now();
 		if (this.writing || now < this.nextWrite) return;
 		const shrinkToo = now >= this.nextShrink;
+		const wants = (pack: Pack<V>) =>
+			!pack.refused && (pack.fresh.size > 0 || (pack.shrunk && (shrinkToo || pack.revision === 0)));
+		for (const pack of [...this.packs.values()])
+			if (pack.bytes > this.mostBytes && pack.entries.size > 1 && wants(pack)) this.split(pack);
 		const due = [...this.packs.values()]
-			.filter((pack) => pack.fresh.size > 0 || (shrinkToo && pack.shrunk))
+			.filter((pack) => wants(pack) || pack.parts?.size === 0)
 			.sort((a, b) => b.fresh.size - a.fresh.size);
 		if (due.length === 0) return;
 		const changes: StoreChange[] = [];
 		const written: { pack: Pack<V>; fresh: Map<string, V> }[] = [];
 		let bytes = 0;
 		for (const pack of due) {
-			if (written.length === mostPerWrite || (written.length > 0 && bytes + pack.bytes > mostBytesPerWrite))
+			if (
+				written.length === Math.min(mostPerWrite, this.mostChanges) ||
+				(written.length > 0 && bytes + pack.bytes > mostBytesPerWrite)
+			)
 				break;
 			bytes += pack.bytes;
 			written.push({ pack, fresh: pack.fresh });
@@ -136,7 +201,7 @@
 			const value: SharedRecord<V> = { entries: Object.fromEntries(pack.entries) };
 			if (pack.entries.size > 0) changes.push({ put: pack.key, value });
 			else if (pack.revision > 0) changes.push({ delete: pack.key });
-			else this.packs.delete(pack.key);
+			else this.forget(pack);
 		}
 		if (changes.length === 0) return;
 		this.nextWrite = now + this.pace.everyMs;
@@ -173,18 +238,49 @@
 					for (const { pack, fresh } of written) {
 						const put = changes.some((c) => "put" in c && c.put === pack.key);
 						pack.revision = put ? result.epoch : 0;
-						if (!put && pack.entries.size === 0) this.packs.delete(pack.key);
+						if (!put && pack.entries.size === 0) this.forget(pack);
+						else this.written(pack);
+						// Versions before 0.5.0 forget a page when a value that held the same goes: they hear it once more.
+						for (const part of pack.parts === null ? [] : this.partsOf(pack.key)) part.shrunk = true;
 						this.hooks.confirmed(fresh);
 					}
 				}),
 			(error) =>
 				this.hooks.post(() => {
 					again();
-					this.hooks.failed(error);
+					if (error instanceof CallFailed && error.status === 400) this.shrinkValues(written);
+					else this.hooks.failed(error);
 				}),
 		);
 	}
 
+	private forget(pack: Pack<V>): void {
+		this.packs.delete(pack.key);
+		this.written(pack);
+	}
+
+	/** What was split into it, among others, need not keep its entries any more. */
+	private written(pack: Pack<V>): void {
+		for (const other of this.packs.values()) other.parts?.delete(pack);
+	}
+
+	/**
+	 * Fewer values at once, then smaller ones; and what can't be smaller is not tried again as
+	 * it is: the rest must not wait behind it.
+	 */
+	private shrinkValues(written: { pack: Pack<V> }[]): void {
+		if (written.length > 1) this.mostChanges = Math.max(1, Math.floor(written.length / 2));
+		else {
+			const { pack } = written[0] as { pack: Pack<V> };
+			this.mostBytes = Math.max(leastBytes, Math.floor(Math.min(this.mostBytes, pack.bytes) / 2));
+			pack.refused = pack.entries.size <= 1 || pack.bytes <= this.mostBytes;
+		}
+		this.hooks.tooLarge(
+			written.map(({ pack }) => pack.key),
+			this.mostBytes,
+		);
+	}
+
 	/** A write that got no answer was carried out after all: the value is ours, its revision is news. */
 	private readBack(keys: string[]): void {
 		this.writing = true;
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -25,6 +25,8 @@
 	times: v.optional(v.number()),
 });
 
+const limits = { rps: positive, write_rps: positive, value_kb: positive, txn_ops: count };
+
 const Platform = v.object({
 	node: text,
 	domain: text,
@@ -43,7 +45,11 @@
 			lease_s: positive,
 			cancel_s: positive,
 		}),
-		state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+		state: v.object({
+			...limits,
+			/** Limits that come at some moment, without notice. */
+			next: v.optional(v.partial(v.object(limits)), {}),
+		}),
 		cloud: v.object({ rps: positive, list_lag_s: amount }),
 		resources: v.optional(
 			v.object({
@@ -120,5 +126,18 @@
 	if (workers.lease_s >= workers.cancel_s) {
 		throw new SettingsError(`${file}: field "cluster.workers.lease_s": must be less than "cancel_s"`);
 	}
+	settings.cluster.state = lesserLimits(settings.cluster.state);
 	return settings;
 }
+
+/** What holds now and what is to come are kept from the start: the change comes without notice. */
+function lesserLimits(state: PlatformSettings["cluster"]["state"]): PlatformSettings["cluster"]["state"] {
+	const lesser = (limit: keyof typeof limits) => Math.min(state[limit], state.next[limit] ?? Infinity);
+	return {
+		...state,
+		rps: lesser("rps"),
+		write_rps: lesser("write_rps"),
+		value_kb: lesser("value_kb"),
+		txn_ops: lesser("txn_ops"),
+	};
+}
--- a/tests/support/state-service.ts
+++ b/tests/support/state-service.ts
@@ -26,6 +26,9 @@
 	/** These are refused while the others are served; their leases run out. */
 	readonly refused = new Set<string>();
 
+	/** Larger values and longer transactions get 400; what is stored stays readable. */
+	limits = { valueBytes: 16 * 1024, changes: 12 };
+
 	constructor(private readonly time: FakeTime) {
 		this.expireOften();
 	}
@@ -104,6 +107,11 @@
 				return { status: 400, body: { error: "no such lease" } };
 			}
 		}
+		const tooLarge = then.some(
+			(op) => Buffer.byteLength(JSON.stringify(op.v ?? null)) > this.limits.valueBytes,
+		);
+		if (tooLarge || then.length > this.limits.changes || when.length > 4 * this.limits.changes)
+			return { status: 400, body: { error: "over the limits" } };
 		const failed = when.filter((c) => (this.rows.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
 		if (failed.length > 0) return { status: 409, body: { failed, epoch: this.epoch } };
 		if (then.length > 0) this.epoch += 1;
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -107,7 +107,10 @@
 /** With so small a share of a core any number of reports is many, and all controllers receive them. */
 const tinyShare = "[cluster.resources]\ncores = 0.0005\n";
 
-function settingsOf(node: string, nodes: string[], relayed: boolean): PlatformSettings {
+/** Limits that the state service may come to have in a trace. */
+const nextLimits = "[cluster.state.next]\nvalue_kb = 0.6\ntxn_ops = 4\n";
+
+function settingsOf(node: string, nodes: string[], relayed: boolean, nextKnown: boolean): PlatformSettings {
 	const others = nodes
 		.filter((n) => n !== node)
 		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
@@ -138,7 +141,7 @@
 [cluster.cloud]
 rps = 5.0
 list_lag_s = 1.0
-${relayed ? tinyShare : ""}`;
+${relayed ? tinyShare : ""}${nextKnown ? nextLimits : ""}`;
 	return parsePlatform("test settings", text);
 }
 
@@ -167,6 +170,8 @@
 	private readonly waitingSince = new Map<string, number>();
 	/** By trace: troubles that no stand-in shows, such as faults on links. */
 	troubled = false;
+	/** Whether processes that start from now on are told of the limits to come. */
+	nextKnown = false;
 
 	constructor(
 		capacity = 4,
@@ -221,7 +226,7 @@
 		if (this.processes.has(node)) return;
 		this.incarnation += 1;
 		const id = `${node}#${this.incarnation}`;
-		const settings = settingsOf(node, this.nodes, this.relayed);
+		const settings = settingsOf(node, this.nodes, this.relayed, this.nextKnown);
 		const note =
 			(level: string) =>
 			(fields: object, message: string): void => {
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -330,6 +330,19 @@
 	for (const [text, message] of refused) assert.throws(() => parsePlatform("s.toml", text), message);
 });
 
+test("limits of the state service that are to come hold from the start; impossible ones are refused by field", () => {
+	const state = (next: string) =>
+		parsePlatform("s.toml", `${settings}[cluster.state.next]\n${next}\n`).cluster.state;
+	const lesser = state("value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 40.0");
+	assert.deepEqual([lesser.value_kb, lesser.txn_ops, lesser.write_rps, lesser.rps], [2, 4, 20, 100]);
+	assert.equal(state("").value_kb, 16);
+	for (const wrong of ["value_kb = 0", "txn_ops = -1", "txn_ops = 1.5", "write_rps = nan", 'rps = "many"'])
+		assert.throws(
+			() => state(wrong),
+			new RegExp(`s\\.toml: field "cluster\\.state\\.next\\.${wrong.split(" ")[0]}"`),
+		);
+});
+
 test("operators' settings: unknown fields are rejected by name, limits are checked", async () => {
 	assert.equal((await parseOperator("o.yaml", "climb:\n  high: 2\n")).climb.high, 2);
 	assert.equal((await parseOperator("o.yaml", "")).climb.up_past, 3);
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -38,6 +38,10 @@
 	mute?: string[];
 	/** Of the transactions sent from now on every n-th gets no answer and is carried out later; 0: none. */
 	late_writes?: { every: number; late_s: number };
+	/** Processes that start from now on know the state service's limits to come. */
+	limits_told?: boolean;
+	/** The limits come. */
+	limits_come?: boolean;
 	/** Direct orders are held up for so long. */
 	late_orders_s?: number;
 	/** Answers of the state service take so long. */
@@ -162,6 +166,8 @@
 			world.network.lateWrites = () => (every > 0 && ++n % every === 0 ? late_s * 1000 : null);
 		}
 		if (step.late_orders_s !== undefined) world.network.lateOrdersMs = step.late_orders_s * 1000;
+		if (step.limits_told) world.nextKnown = true;
+		if (step.limits_come) world.state.limits = { valueBytes: 0.6 * 1024, changes: 4 };
 		if (step.slow_state_ms !== undefined) world.network.slowStateMs = step.slow_state_ms;
 		for (const piece of [step.deaf ?? []].flat()) world.workerOf(piece).deaf = true;
 		if (step.copies) world.copiesAfterS = step.copies;
