Standing jobs: replicas that run again until their job is called off

Form standing, guess_s 0. Replicas are never done, run again under a new attempt, go to machines apart, and move from machines that will go: room elsewhere is kept first, then the stop, then the start. Accepted only once every controller has said that it serves them (r/one/able). Load: a core that a replica takes counts as an ordinary busy one.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -11,6 +11,8 @@
 	number: number;
 	machine: Machine;
 	phase: AttemptPhase;
+	/** A replica that is moved: room is kept for it there, and it starts there once this attempt is over. */
+	moveTo: Machine | null;
 	/** When it was first reported running, by the steady clock of this process. */
 	runningAt: number | null;
 	/** A stop was decided; it is repeated until the attempt is over. */
@@ -61,14 +63,20 @@
 		}
 	}
 
-	/** Estimated run time of a task: mean of those finished, else the stated one. */
+	/** Its tasks are replicas: they run until the job is cancelled, and none is ever done. */
+	get standing(): boolean {
+		return this.spec.form === "standing";
+	}
+
+	/** Estimated run time of a task: mean of those finished, else the stated one. Replicas have none: 0. */
 	get estimateS(): number {
+		if (this.standing) return 0;
 		return this.finishedRuns > 0 ? this.finishedSeconds / this.finishedRuns : this.spec.estimateS;
 	}
 
-	/** Failing wherever it goes: tried again now and then, and kept out of the load. */
+	/** Failing wherever it goes: tried again now and then, and kept out of the load. A replica is tried all along. */
 	get doomed(): boolean {
-		return this.failedOn.size >= 3;
+		return !this.standing && this.failedOn.size >= 3;
 	}
 
 	get rank(): number {
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -53,6 +53,8 @@
 	usedCpus = 0;
 	usedGpus = 0;
 	usedMemory = 0;
+	/** Kept for replicas that are on their way here. */
+	private readonly reserved = { cpus: 0, gpus: 0, memory: 0 };
 	/** Images that it should have, latest last. */
 	readonly images = new Set<string>();
 	readonly failedJobs = new Set<string>();
@@ -129,13 +131,31 @@
 	}
 
 	get freeCpus(): number {
-		return this.type.cpus - this.usedCpus;
+		return this.type.cpus - this.usedCpus - this.reserved.cpus;
 	}
 	get freeGpus(): number {
-		return this.type.gpus - this.usedGpus;
+		return this.type.gpus - this.usedGpus - this.reserved.gpus;
 	}
 	get freeMemory(): number {
-		return this.type.memoryGb - this.usedMemory;
+		return this.type.memoryGb - this.usedMemory - this.reserved.memory;
+	}
+
+	/** Keeps room for a task of the job, or gives it back. */
+	reserve({ cpus, gpus, memoryGb }: JobSpec, sign: 1 | -1): void {
+		this.reserved.cpus += sign * cpus;
+		this.reserved.gpus += sign * gpus;
+		this.reserved.memory += sign * memoryGb;
+	}
+
+	hasRoomFor({ cpus, gpus, memoryGb }: JobSpec): boolean {
+		return (
+			this.freeCpus + slack >= cpus && this.freeGpus + slack >= gpus && this.freeMemory + slack >= memoryGb
+		);
+	}
+
+	/** Will go away, or ought to: replicas that are here had better be elsewhere. */
+	get leaving(): boolean {
+		return this.takenAt !== null || this.marked || this.faulty || this.deafAt !== null;
 	}
 
 	hold(key: string, attempt: Attempt): void {
@@ -173,6 +193,7 @@
 	}
 }
 
+const slack = 1e-6;
 const asideMs = 40_000;
 const trialMs = 20_000;
 
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -9,6 +9,7 @@
 	root: "r/",
 	leader: "r/one/leader",
 	types: "r/one/types",
+	able: "r/one/able",
 	one: "r/one/",
 	jobs: "r/job/",
 	/** Done-sets of live jobs, many to a value. */
@@ -66,6 +67,11 @@
 	session: number;
 }
 
+/** What every controller has been seen to be able to do. */
+export interface AbleRecord {
+	standing?: boolean;
+}
+
 export interface TypesRecord {
 	types: MachineType[];
 }
--- a/src/bookkeeping/replica.ts
+++ b/src/bookkeeping/replica.ts
@@ -1,6 +1,7 @@
 import type { Demand, MachineType } from "../protocol/model.js";
 import type { StoreEvent, StoreRow } from "../protocol/wire.js";
 import {
+	type AbleRecord,
 	demandOf,
 	type FinalRecord,
 	type JobRecord,
@@ -45,6 +46,7 @@
 	loaded = false;
 	leader: Versioned<LeaderRecord> | null = null;
 	types: Versioned<MachineType[]> | null = null;
+	able: AbleRecord = {};
 	readonly jobs = new Map<string, Versioned<JobRecord>>();
 	/** Shared values by their keys. */
 	readonly progress = new Map<string, Versioned<SharedRecord<string>>>();
@@ -73,6 +75,7 @@
 		this.machines.clear();
 		this.leader = null;
 		this.types = null;
+		this.able = {};
 		// Of two values that name one thing the later tells: a leader may have ended while it split one.
 		for (const row of [...rows].sort((a, b) => a.revision - b.revision))
 			this.put(row.key, row.value, row.revision);
@@ -125,6 +128,8 @@
 			}
 		} else if (key === keys.leader) {
 			if (newer(this.leader)) this.leader = { value: value as LeaderRecord, revision };
+		} else if (key === keys.able) {
+			this.able = value as AbleRecord;
 		} else if (key === keys.types) {
 			if (newer(this.types)) this.types = { value: (value as TypesRecord).types, revision };
 		}
@@ -144,6 +149,8 @@
 			if (older(this.machines.get(key))) this.machines.delete(key);
 		} else if (key === keys.leader) {
 			if (older(this.leader)) this.leader = null;
+		} else if (key === keys.able) {
+			this.able = {};
 		} else if (key === keys.types && older(this.types)) this.types = null;
 	}
 
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -289,6 +289,7 @@
 					kind: "pong",
 					epoch: this.leaderHeard.epoch,
 					strays: this.countStrays(),
+					standing: true,
 				});
 			}
 			return { kind: "elsewhere", node: this.foreman() };
@@ -380,7 +381,12 @@
 					if (message.epoch < (this.replica.leader?.revision ?? 0)) break;
 					if (message.served) this.othersServedAt = this.peerHeardAt;
 					this.running = new Map(message.counts);
-					this.ports.peers.send(from, { kind: "pong", epoch: message.epoch, strays: this.countStrays() });
+					this.ports.peers.send(from, {
+						kind: "pong",
+						epoch: message.epoch,
+						strays: this.countStrays(),
+						standing: true,
+					});
 					break;
 				case "reports":
 					this.relayed(from, message);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -3,6 +3,7 @@
 import type { ListedMachine, MachineType } from "../protocol/model.js";
 import type { OperatorSettings } from "../protocol/operator.js";
 import type { RentRequest } from "../protocol/wire.js";
+import { zoneRoom } from "./placing.js";
 import { CallFailed, type CloudPort, type Log, type TimePort } from "./ports.js";
 import {
 	type Counters,
@@ -108,7 +109,7 @@
 		let cpus = 0;
 		let sum = 0;
 		for (const job of this.tables.jobs.values()) {
-			if (job.doomed) continue;
+			if (job.doomed || job.standing) continue;
 			const share = (job.waiting.length + job.attempts.size) * job.spec.cpus;
 			cpus += share;
 			sum += share * Math.min(job.estimateS, this.settings.climb.cap_s);
@@ -120,6 +121,9 @@
 	 * Remaining work of all live jobs. A team's limit bounds how fast its work can
 	 * be done, whatever is rented, so a team counts at most for as many cores as its
 	 * limit allows, each loaded to the high mark.
+	 *
+	 * Replicas are not work that ends. A core that one takes counts as an ordinary busy core does
+	 * on the average, which lies between the marks: it neither rents nor returns machines.
 	 */
 	remainingWork(now: number, unitS: number): number {
 		const { cap_s: cap, high } = this.settings.climb;
@@ -127,6 +131,11 @@
 		for (const job of this.tables.jobs.values()) {
 			// Work that fails wherever it goes must not rent machines.
 			if (job.doomed) continue;
+			if (job.standing) {
+				const cores = (job.waiting.length + job.attempts.size) * job.spec.cpus;
+				byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + cores * unitS);
+				continue;
+			}
 			const estimate = job.estimateS;
 			let work = job.waiting.length * remainingOfWaiting(job.spec.cpus, estimate, cap);
 			for (const attempt of job.attempts.values()) work += remainingOf(attempt, now, estimate, cap);
@@ -168,6 +177,7 @@
 			grow();
 			return;
 		}
+		if (this.serveReplicas(counted, unitS, n, cpus, now)) return;
 		if (this.serveUnheld(counted, unitS, n, cpus, now)) return;
 		this.unmarkForWaiting(now);
 		const { counters, action } = climb(
@@ -228,6 +238,43 @@
 		return false;
 	}
 
+	/**
+	 * Replicas can't wait for the load to rise. Those that wait, or have to leave their machine,
+	 * and for which no machine has room that is up or on its way, have one rented.
+	 */
+	private serveReplicas(counted: Machine[], unitS: number, n: number, cpus: number, now: number): boolean {
+		const room = new Map<Machine, { cpus: number; memory: number }>();
+		for (const job of this.tables.jobs.values()) {
+			if (!job.standing) continue;
+			let need = job.notBefore <= now ? job.waiting.length : 0;
+			for (const a of job.attempts.values()) if (a.machine.leaving && a.moveTo === null) need += 1;
+			if (need === 0) continue;
+			const { spec } = job;
+			const zones = this.tables.zonesOf(job);
+			for (const m of counted) {
+				if (need === 0) break;
+				if (!machineAllowed(spec, m)) continue;
+				const left = room.get(m) ?? { cpus: m.freeCpus, memory: m.freeMemory };
+				let zoneLeft = spec.oneZone || spec.spread ? zoneRoom(spec, zones, m.zone) : need;
+				while (need > 0 && zoneLeft > 0 && left.cpus >= spec.cpus && left.memory >= spec.memoryGb) {
+					left.cpus -= spec.cpus;
+					left.memory -= spec.memoryGb;
+					zones[m.zone] = (zones[m.zone] ?? 0) + 1;
+					need -= 1;
+					zoneLeft -= 1;
+				}
+				room.set(m, left);
+			}
+			if (need === 0) continue;
+			if (this.rental) return true;
+			if (this.unmarkFor(job)) return true;
+			const full = Object.entries(zones).filter(([zone]) => zoneRoom(spec, zones, zone) < 1);
+			const avoid = new Set(full.map(([zone]) => zone));
+			if (this.rentFor(job, 0, unitS, n, cpus, now, need * spec.cpus, avoid) === "asked") return true;
+		}
+		return false;
+	}
+
 	/** Takes back the mark of a machine with room for the job; false if there is none. */
 	private unmarkFor(job: Job): boolean {
 		const { spec } = job;
@@ -290,10 +337,16 @@
 		const ranked = counted
 			.map((machine) => {
 				let left = 1;
-				for (const a of machine.attempts.values()) left += remainingOf(a, now, a.job.estimateS, cap);
-				return { machine, worth: left / Math.max(machine.hourlyPrice, 1e-6) };
+				let replicas = false;
+				for (const a of machine.attempts.values()) {
+					left += remainingOf(a, now, a.job.estimateS, cap);
+					replicas ||= a.job.standing;
+				}
+				return { machine, replicas, worth: left / Math.max(machine.hourlyPrice, 1e-6) };
 			})
-			.sort((a, b) => a.worth - b.worth);
+			// With replicas on it, only one that is all but empty is worth their moving.
+			.filter(({ machine, replicas }) => !replicas || machine.usedCpus <= machine.type.cpus / 4)
+			.sort((a, b) => Number(a.replicas) - Number(b.replicas) || a.worth - b.worth);
 		const leaving = ranked.map((r) => r.machine.type.cpus);
 		const k = machinesToSpare(work, counted.length, cpus, leaving, this.settings.climb.low * unitS);
 		const marked = new Set(ranked.slice(0, k).map((r) => r.machine));
@@ -316,6 +369,8 @@
 		n: number,
 		cpus: number,
 		now: number,
+		needed = 0,
+		full: ReadonlySet<string> = new Set(),
 	): "asked" | "not now" | "nothing to be had" {
 		if (this.rental) return "not now";
 		const most = this.settings.climb.most_machines;
@@ -325,10 +380,11 @@
 		const offers = rankOffers(
 			offersFor(job.spec, [...this.tables.types.values()]),
 			job.spec,
-			Math.max(usable - cpus, job.spec.cpus),
+			needed > 0 ? needed : Math.max(usable - cpus, job.spec.cpus),
 		);
 		const open = offers.filter(
-			(o) => !this.cutOff.has(o.zone) && (this.refusedUntil.get(offerKey(o)) ?? 0) <= now,
+			(o) =>
+				!this.cutOff.has(o.zone) && !full.has(o.zone) && (this.refusedUntil.get(offerKey(o)) ?? 0) <= now,
 		);
 		const offer = open[0];
 		if (!offer) return "nothing to be had";
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -35,7 +35,21 @@
 	if (spec.cpus > team.cpus_max || spec.gpus > team.gpus_max) {
 		return `a task needs more than the limit of team "${spec.team}"`;
 	}
-	if (!types.some((type) => typeFits(spec, type))) return "a task fits no allowed machine type";
+	const fitting = types.filter((type) => typeFits(spec, type));
+	if (fitting.length === 0) return "a task fits no allowed machine type";
+	return spec.form === "standing" ? impossibleTogether(spec, team, fitting) : null;
+}
+
+/** Replicas run all at the same time. */
+function impossibleTogether(spec: JobSpec, team: TeamSettings, fitting: MachineType[]): string | null {
+	if (spec.tasks * spec.cpus > team.cpus_max || spec.tasks * spec.gpus > team.gpus_max) {
+		return `all replicas together need more than the limit of team "${spec.team}"`;
+	}
+	const zones = new Set(fitting.flatMap((type) => type.zones));
+	const oneZone = spec.oneZone || spec.zone !== null || zones.size < 2;
+	if (spec.spread && oneZone && Math.ceil(spec.tasks / 2) < spec.tasks) {
+		return "the replicas can't be spread over zones: they are allowed in one only";
+	}
 	return null;
 }
 
@@ -68,6 +82,10 @@
 			if (!this.replica.loaded || !types) {
 				return { kind: "later", reason: "the machine types are not known yet" };
 			}
+			// A controller that does not know this form would run its replicas to an end.
+			if (spec.form === "standing" && !this.replica.able.standing) {
+				return { kind: "later", reason: "not all controllers are known to serve standing jobs yet" };
+			}
 			const record: JobRecord = { spec, at: this.time.date().getTime() };
 			const refused = this.refusal(record, types);
 			if (refused) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,7 +1,8 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Attempt, Job } from "../bookkeeping/jobs.js";
-import { Machine, muchTooSlow, noteRun, type UnwantedTask } from "../bookkeeping/machines.js";
+import { Machine, machineAllowed, muchTooSlow, noteRun, type UnwantedTask } from "../bookkeeping/machines.js";
 import {
+	type AbleRecord,
 	demandOf,
 	type FinalRecord,
 	keys,
@@ -27,6 +28,7 @@
 	placeFirstFit,
 	sampled,
 	type ViewMachine,
+	zoneRoom,
 } from "./placing.js";
 import {
 	CallFailed,
@@ -79,6 +81,11 @@
 const placedHereMs = 5000;
 const idleHoldMs = 1500;
 const preemptEveryMs = 500;
+const movesEveryMs = 300;
+/** A replica that has run for so long has started well. */
+const steadyMs = 30_000;
+/** Replicas of a job move one after the other, unless a machine is taken as soon as this. */
+const hurryMs = 15_000;
 /** So long a job keeps off machines on which it failed. */
 const avoidMs = 20_000;
 /** How often `tick` is called. */
@@ -110,6 +117,8 @@
 	private nextPreemption = 0;
 	private nextProgress = 0;
 	private nextAudit = 0;
+	private notingAbilities = false;
+	private nextMoves = 0;
 	/** Jobs whose end is being read, or was. */
 	private readonly lookingUp = new Set<string>();
 	private readonly leaseMs: number;
@@ -404,8 +413,12 @@
 		}
 		if (cause !== "error" && cause !== "unknown") return;
 		this.ports.log.info({ machine: machine.id, job: job.id, task: attempt.index, cause }, "task failed");
+		// One that ran for long and failed says little of where it starts next.
+		if (job.standing && attempt.runningAt !== null && now - attempt.runningAt > steadyMs)
+			job.failedOn.clear();
 		job.failedOn.add(machine.id);
 		job.failedAt = now;
+		if (job.standing) job.notBefore = now + Math.min(10_000, 250 * 2 ** Math.min(6, job.failedOn.size));
 		if (job.doomed) {
 			// It fails everywhere: tried again with growing pauses.
 			job.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(5, job.failedOn.size - 3));
@@ -432,7 +445,8 @@
 		const stopped: Attempt[] = [];
 		for (const attempt of machine.attempts.values()) {
 			const { spec } = attempt.job;
-			if (attempt.stop !== null || attempt.phase === "assigned") continue;
+			// Replicas are moved, and run until then.
+			if (attempt.stop !== null || attempt.phase === "assigned" || attempt.job.standing) continue;
 			if (spec.checkpointS > 0 && attempt.phase === "running") {
 				if (leftS <= spec.saveS + margin) attempt.stop = { graceS: leftS, why: "machine is taken" };
 				continue;
@@ -612,6 +626,7 @@
 		this.audit(now);
 		if (this.anyWaiting(now)) this.tables.changed = true;
 		this.preempt(now);
+		this.moveReplicas(now);
 		this.maybePlace();
 		if (this.tables.exhausted) this.resign("attempt numbers used up");
 	}
@@ -688,6 +703,58 @@
 		this.stopNow(victims);
 	}
 
+	/**
+	 * From machines that will go, replicas move early. A task may not be on two machines, so room
+	 * elsewhere is kept first, then the replica is stopped, and it starts there as soon as its
+	 * end is proved.
+	 */
+	private moveReplicas(now: number): void {
+		if (now < this.nextMoves || !this.tables.rebuilt) return;
+		this.nextMoves = now + movesEveryMs;
+		const moved: Attempt[] = [];
+		for (const machine of this.tables.machines.values()) {
+			if (!machine.leaving || machine.lost) continue;
+			const hurry = machine.takenAt !== null && machine.takenAt - now < hurryMs;
+			for (const attempt of machine.attempts.values()) {
+				const { job } = attempt;
+				if (!job.standing || attempt.stop !== null || attempt.phase === "assigned") continue;
+				if (!hurry && [...job.attempts.values()].some((a) => a.moveTo !== null)) continue;
+				const to = this.placeFor(attempt);
+				if (!to) continue;
+				this.tables.move(attempt, to);
+				moved.push(attempt);
+			}
+		}
+		if (moved.length === 0) return;
+		this.ports.log.info(
+			{ replicas: moved.map((a) => `${a.job.id}/${a.index}`) },
+			"moved from machines that go",
+		);
+		this.stopNow(moved);
+	}
+
+	/** Where the replica could go on: with its image and without another replica of the job, if possible. */
+	private placeFor(attempt: Attempt): Machine | null {
+		const { job } = attempt;
+		const { spec } = job;
+		const zones = this.tables.zonesOf(job);
+		zones[attempt.machine.zone] = (zones[attempt.machine.zone] ?? 1) - 1;
+		const beside = new Set([...job.attempts.values()].map((a) => a.machine));
+		let best: Machine | null = null;
+		let bestWorth = -1;
+		for (const machine of this.tables.machines.values()) {
+			if (!machine.open || machine.suspect || !machineAllowed(spec, machine) || !machine.hasRoomFor(spec))
+				continue;
+			if ((spec.oneZone || spec.spread) && zoneRoom(spec, zones, machine.zone) < 1) continue;
+			const worth = (beside.has(machine) ? 0 : 2) + (machine.images.has(spec.image) ? 1 : 0);
+			if (worth > bestWorth) {
+				best = machine;
+				bestWorth = worth;
+			}
+		}
+		return best;
+	}
+
 	// --- placing ---
 
 	/** Looked up once a batch, however many reports it holds. */
@@ -713,6 +780,8 @@
 			this.nextCycle = now + this.settings.placing.cycle_s * 1000;
 			if (this.tables.rebuilt) this.place(now);
 		}
+		for (const machine of this.tables.followUps) this.assigned.add(machine);
+		this.tables.followUps.clear();
 		if (this.outstanding.size === 0) {
 			if (this.assigned.size > 0) this.sendAssigned(now);
 			// Nothing more will be placed for now: whoever was held for that is answered.
@@ -807,7 +876,10 @@
 		if (this.ended || message.epoch !== this.epoch) return;
 		const now = this.ports.time.now();
 		this.presence.heard(from, now);
-		if (message.kind === "pong") this.presence.answered(from, message.strays, now);
+		if (message.kind === "pong") {
+			this.presence.answered(from, message.strays, message.standing === true, now);
+			this.noteAbilities();
+		}
 		if (message.kind !== "placed") return;
 		const asked = this.outstanding.get(from);
 		if (!asked || asked.cycle !== message.cycle) return;
@@ -821,6 +893,18 @@
 		}
 	}
 
+	/** Once every controller has said that it serves standing jobs, all are told, for good. */
+	private noteAbilities(): void {
+		if (this.notingAbilities || this.replica.able.standing || !this.active) return;
+		if (!this.presence.allServeStanding) return;
+		this.notingAbilities = true;
+		const value: AbleRecord = { standing: true };
+		const done = () => this.ports.post(() => (this.notingAbilities = false));
+		this.ports.store
+			.transact([this.leaderCondition()], [{ put: keys.able, value }], "normal")
+			.then(done, () => this.ports.time.after(1000, done));
+	}
+
 	private inOrder(jobs: Job[]): Job[] {
 		const { quotas, machines } = this.tables;
 		let cpus = 0;
@@ -897,6 +981,7 @@
 				// For a while only: there may be no others, and what was wrong there may be over.
 				avoid: job.doomed || now - job.failedAt > avoidMs ? [] : [...job.failedOn],
 				zones: job.spec.oneZone || job.spec.spread ? this.tables.zonesOf(job) : {},
+				...(job.standing && { beside: [...job.attempts.values()].map((a) => a.machine.id) }),
 			},
 		}));
 	}
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -24,6 +24,8 @@
 	avoid: string[];
 	/** The job's tasks that may be anywhere, by zone. */
 	zones: Record<string, number>;
+	/** Machines that may hold replicas of the job already; left out by versions before 0.5.0. */
+	beside?: string[];
 }
 
 export interface Placement {
@@ -103,12 +105,19 @@
 		if (!spec) continue;
 		let left = grant.count;
 		const zones = { ...grant.zones };
-		for (const withImage of [true, false]) {
+		// Replicas go to as many machines as there are, so that the end of one machine costs one.
+		const apart = spec.form === "standing";
+		const taken = new Set(grant.beside ?? []);
+		const passes = [true, false].flatMap((withImage) => (apart ? [{ withImage, most: 1 }] : []));
+		passes.push({ withImage: true, most: left }, { withImage: false, most: left });
+		for (const { withImage, most } of passes) {
 			for (const m of order) {
 				if (left <= 0) break;
 				if (m.images.includes(spec.image) !== withImage || grant.avoid.includes(m.id)) continue;
-				const n = Math.min(left, fits(spec, m), zoneRoom(spec, zones, m.zone));
+				if (apart && most === 1 && taken.has(m.id)) continue;
+				const n = Math.min(left, most, fits(spec, m), zoneRoom(spec, zones, m.zone));
 				if (n <= 0) continue;
+				taken.add(m.id);
 				m.cpus -= n * spec.cpus;
 				m.gpus -= n * spec.gpus;
 				m.memory -= n * spec.memoryGb;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -22,6 +22,7 @@
 	let all = 0;
 	const byTeam = new Map<string, number>();
 	for (const job of tables.jobs.values()) {
+		if (job.standing) continue;
 		const places = (turnoverS * job.attempts.size) / job.estimateS;
 		all += places;
 		byTeam.set(job.spec.team, (byTeam.get(job.spec.team) ?? 0) + places);
@@ -39,7 +40,13 @@
 }
 
 function stoppable(attempt: Attempt): boolean {
-	return attempt.stop === null && attempt.phase !== "assigned" && attempt.phase !== "saving";
+	// A replica that was stopped would only be started elsewhere.
+	return (
+		attempt.stop === null &&
+		!attempt.job.standing &&
+		attempt.phase !== "assigned" &&
+		attempt.phase !== "saving"
+	);
 }
 
 /** Work mostly done is not thrown away. */
--- a/src/coordination/presence.ts
+++ b/src/coordination/presence.ts
@@ -27,6 +27,8 @@
 	/** Whether the other controllers receive reports and pass them on. */
 	private relaying = false;
 	private nextPing = 0;
+	/** Controllers that serve standing jobs, by their own word in this term. */
+	private readonly serveStanding = new Set<string>();
 
 	constructor(
 		private readonly epoch: number,
@@ -64,11 +66,17 @@
 	}
 
 	/** It has answered, and says how many machines turned to it. */
-	answered(from: string, count: number, now: number): void {
+	answered(from: string, count: number, standing: boolean, now: number): void {
+		if (standing) this.serveStanding.add(from);
+		else this.serveStanding.delete(from);
 		this.strays.set(from, { at: now, count });
 		if (this.apart > 0) this.stepAside(now, this.hearing(now));
 	}
 
+	get allServeStanding(): boolean {
+		return this.platform.others.every(({ node }) => this.serveStanding.has(node));
+	}
+
 	livePlacers(now: number): string[] {
 		const live = [this.platform.node];
 		for (const other of this.platform.others) {
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -163,12 +163,13 @@
 		job: task.job,
 		index: task.index,
 		attempt: task.attempt,
-		done: task.cause === "done" && tables.jobs.has(task.job),
+		done: task.cause === "done" && tables.jobs.get(task.job)?.standing === false,
 	});
 }
 
 /** Completed under an attempt that this leader did not know; the result counts all the same. */
 function foundDone(tables: Tables, job: Job, index: number): void {
+	if (job.standing) return;
 	tables.markDone(job, index);
 	const other = job.attempts.get(index);
 	if (!other) return;
--- a/src/coordination/tables.ts
+++ b/src/coordination/tables.ts
@@ -27,6 +27,8 @@
 	changed = false;
 	/** Machines that may hold tasks of an earlier leader and have not been heard. */
 	private readonly unheard = new Set<Machine>();
+	/** Machines for which starts were decided apart from placing. */
+	readonly followUps = new Set<Machine>();
 	/** Machines with tasks of jobs of which nothing is known, and how many. */
 	private readonly strange = new Map<Machine, number>();
 
@@ -153,14 +155,7 @@
 		if (!machine.open) return "machine is not open";
 		if (this.exhausted) return "attempt numbers used up";
 		if (!machineAllowed(spec, machine)) return "machine not allowed";
-		const slack = 1e-6;
-		if (
-			machine.freeCpus + slack < spec.cpus ||
-			machine.freeGpus + slack < spec.gpus ||
-			machine.freeMemory + slack < spec.memoryGb
-		) {
-			return "no room";
-		}
+		if (!machine.hasRoomFor(spec)) return "no room";
 		if (machine.suspect && machine.attempts.size > 0) return "machine is on trial";
 		if (!this.quotas.fitsLimit(spec.team, spec.cpus, spec.gpus)) return "team is at its limit";
 		if ((spec.oneZone || spec.spread) && zoneRoom(spec, this.zonesOf(job), machine.zone) < 1) {
@@ -184,6 +179,7 @@
 			number: this.nextAttempt(),
 			machine,
 			phase: "assigned",
+			moveTo: null,
 			runningAt: null,
 			stop: null,
 		};
@@ -199,6 +195,7 @@
 			number,
 			machine,
 			phase: "sent",
+			moveTo: null,
 			runningAt: null,
 			stop: null,
 		};
@@ -217,9 +214,24 @@
 		this.quotas.remove(job.spec.team, job.spec.cpus, job.spec.gpus);
 		if (!job.cancelled && !job.done.has(index)) job.waiting.push(index);
 		this.changed = true;
+		const to = attempt.moveTo;
+		if (to === null) return;
+		to.reserve(job.spec, -1);
+		attempt.moveTo = null;
+		// It goes where room was kept for it, before anything else is placed.
+		if (!job.cancelled && this.decide(job, to)) this.followUps.add(to);
+	}
+
+	/** The replica's next attempt is to be on the other machine; its end here is asked for first. */
+	move(attempt: Attempt, to: Machine): void {
+		attempt.moveTo = to;
+		to.reserve(attempt.job.spec, 1);
+		attempt.stop = { graceS: attempt.job.spec.saveS, why: "moved" };
 	}
 
 	markDone(job: Job, index: number): void {
+		// Whatever a replica reports, it runs again.
+		if (job.standing) return;
 		if (job.done.add(index)) {
 			job.dirtyPages.add(Math.floor(index / tasksPerPage));
 			this.changed = true;
--- a/src/protocol/model.ts
+++ b/src/protocol/model.ts
@@ -10,8 +10,16 @@
 	best_effort: 3,
 };
 
+/**
+ * array: independent tasks, each runs to completion. standing: replicas, which run until the job is
+ * cancelled and run again wherever one ends.
+ */
+export type JobForm = "array" | "standing";
+
 export interface JobSpec {
 	id: string;
+	/** Records of versions before 0.5.0 have none: they are arrays. */
+	form?: JobForm;
 	lane: string;
 	team: string;
 	priority: Priority;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -36,8 +36,11 @@
 	| { kind: "who"; epoch: number; asker: string }
 	/** Names the process that asked, so that late copies of answers to an earlier one are known. */
 	| { kind: "leading"; epoch: number; leading: boolean; asker: string }
-	/** `strays`: machines whose reports came to this node of late, although it does not lead. */
-	| { kind: "pong"; epoch: number; strays: number };
+	/**
+	 * `standing`: this node serves standing jobs; left out by versions before 0.5.0.
+	 * `strays`: machines whose reports came to this node of late, although it does not lead.
+	 */
+	| { kind: "pong"; epoch: number; strays: number; standing?: boolean };
 
 export type Cancellation = [job: string, revision: number, tasks: number, done: number];
 
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -38,7 +38,7 @@
 	id: jobId,
 	lane: text,
 	desk: text,
-	form: v.literal("array", 'must be "array"'),
+	form: v.picklist(["array", "standing"], 'must be "array" or "standing"'),
 	urgency: v.picklist(
 		["critical", "urgent", "normal", "best_effort"],
 		"must be critical, urgent, normal or best_effort",
@@ -65,7 +65,7 @@
 	loaners: flag,
 	bundle: text,
 	image_gb: amount,
-	guess_s: positive,
+	guess_s: amount,
 	bookmark_s: amount,
 	bookmark_cost_s: amount,
 	due_s: orNull(positive),
@@ -109,8 +109,12 @@
 	const result = v.safeParse(JobBody, parseObject(body), { abortEarly: true });
 	if (!result.success) throw new Malformed(firstIssue(result.issues));
 	const job = result.output;
+	if (job.form === "standing" && job.guess_s !== 0)
+		throw new Malformed('field "guess_s" must be 0 for a standing job');
+	if (job.form !== "standing" && job.guess_s === 0) throw new Malformed('field "guess_s" must be above 0');
 	return {
 		id: job.id,
+		form: job.form,
 		lane: job.lane,
 		team: job.desk,
 		priority: job.urgency,
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -217,6 +217,7 @@
 		number: 1,
 		machine: first,
 		phase: "running",
+		moveTo: null,
 		runningAt: 0,
 		stop: null,
 	});
