--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -43,6 +43,8 @@
 const deafPatienceMs = 5000;
 /** The cloud's own bound. */
 const mostPerCall = 50;
+/** Standing jobs that came so lately are expected once more. */
+const expectedMs = 60_000;
 /** A job of which nothing runs has waited so long when a marked machine is asked for room. */
 const waitsBesideMarkedMs = 20_000;
 /** Machines of a zone that is cut off are waited for this many times as long. */
@@ -172,12 +174,12 @@
 			for (const job of this.waitingByAge(now))
 				if (this.rentFor(job, work, unitS, n, cpus, now) !== "nothing to be had") return;
 		};
+		if (this.serveReplicas(counted, unitS, n, cpus, now)) return;
 		// With nothing to run, no machine is kept; the first job to wait rents one.
 		if (n === 0) {
 			grow();
 			return;
 		}
-		if (this.serveReplicas(counted, unitS, n, cpus, now)) return;
 		if (this.serveUnheld(counted, unitS, n, cpus, now)) return;
 		this.unmarkForWaiting(now);
 		const { counters, action } = climb(
@@ -214,7 +216,8 @@
 		const byDemand = new Map<string, Job>();
 		const before = (a: Job, b: Job) => (a.doomed === b.doomed ? a.at < b.at : b.doomed);
 		for (const job of this.tables.jobs.values()) {
-			if (!this.mayRun(job, now)) continue;
+			// Replicas have machines rented by themselves, and of no other kind than they need.
+			if (job.standing || !this.mayRun(job, now)) continue;
 			const { types, zone, spot, cpus, gpus, memoryGb } = job.spec;
 			const demand = JSON.stringify([types, zone, spot, cpus, gpus, memoryGb]);
 			const best = byDemand.get(demand);
@@ -256,13 +259,53 @@
 			if (need === 0) continue;
 			if (this.rental) return true;
 			if (this.unmarkFor(job)) return true;
-			const full = Object.entries(zones).filter(([zone]) => zoneRoom(spec, zones, zone) < 1);
-			const avoid = new Set(full.map(([zone]) => zone));
-			if (this.rentFor(job, 0, unitS, n, cpus, now, need * spec.cpus, avoid) === "asked") return true;
+			if (this.rentForReplicas(job, need, zones, unitS, n, cpus, now)) return true;
+		}
+		return this.expectReplicas(counted, unitS, n, cpus, now);
+	}
+
+	/**
+	 * A machine takes longer to boot than a replica may wait. So what came in the last minute is
+	 * expected to come once more, and has room kept on machines that it may use. Work that is
+	 * not standing can run there meanwhile: replicas go before it.
+	 */
+	private expectReplicas(counted: Machine[], unitS: number, n: number, cpus: number, now: number): boolean {
+		const date = this.time.date().getTime();
+		const room = new Room(beside);
+		for (const job of this.tables.jobs.values()) {
+			if (!job.standing || date - job.at > expectedMs) continue;
+			const zones: Record<string, number> = {};
+			const need = room.take(job, job.spec.tasks, counted, zones);
+			if (need === 0) continue;
+			return this.rental !== null || this.rentForReplicas(job, need, zones, unitS, n, cpus, now);
 		}
 		return false;
 	}
 
+	private rentForReplicas(
+		job: Job,
+		need: number,
+		zones: Record<string, number>,
+		unitS: number,
+		n: number,
+		cpus: number,
+		now: number,
+	): boolean {
+		const { spec } = job;
+		const full = new Set(Object.keys(zones).filter((zone) => zoneRoom(spec, zones, zone) < 1));
+		// As many again are on their way, more often than not.
+		return this.rentFor(job, 0, unitS, n, cpus, now, need * spec.cpus + this.lastMinute(), full) === "asked";
+	}
+
+	/** Cores of the replicas that came in the last minute. */
+	private lastMinute(): number {
+		const date = this.time.date().getTime();
+		let sum = 0;
+		for (const { standing, at, spec } of this.tables.jobs.values())
+			if (standing && date - at <= expectedMs) sum += spec.tasks * spec.cpus;
+		return sum;
+	}
+
 	/** Takes back the mark of a machine with room for the job; false if there is none. */
 	private unmarkFor(job: Job): boolean {
 		const { spec } = job;
@@ -631,17 +674,30 @@
 	}
 }
 
+/** What is free, or taken by work that yields to replicas. */
+function beside(machine: Machine): { cpus: number; memory: number } {
+	let { cpus, memoryGb: memory } = machine.type;
+	for (const { job } of machine.attempts.values()) {
+		if (!job.standing) continue;
+		cpus -= job.spec.cpus;
+		memory -= job.spec.memoryGb;
+	}
+	return { cpus, memory };
+}
+
 /** Room on machines, used up as replicas are thought to be put there. */
 class Room {
 	private readonly left = new Map<Machine, { cpus: number; memory: number }>();
 
+	constructor(private readonly of = (m: Machine) => ({ cpus: m.freeCpus, memory: m.freeMemory })) {}
+
 	/** Puts so many replicas where they fit, and says how many do not. */
 	take({ spec }: Job, count: number, machines: Machine[], zones: Record<string, number>): number {
 		let need = count;
 		for (const m of machines) {
 			if (need === 0) break;
 			if (!machineAllowed(spec, m)) continue;
-			const left = this.left.get(m) ?? { cpus: m.freeCpus, memory: m.freeMemory };
+			const left = this.left.get(m) ?? this.of(m);
 			this.left.set(m, left);
 			while (need > 0 && left.cpus >= spec.cpus && left.memory >= spec.memoryGb) {
 				if ((spec.oneZone || spec.spread) && zoneRoom(spec, zones, m.zone) < 1) break;
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -262,7 +262,10 @@
 		// A team at its limit gets only the places that it frees itself.
 		const atLimit = !tables.quotas.fitsLimit(spec.team, spec.cpus, spec.gpus);
 		const own = soonFree.byTeam.get(spec.team) ?? 0;
-		const served = Math.floor(Math.min(soonFree.all, atLimit ? own : soonFree.all, job.waiting.length));
+		// Which machines they come free on nobody knows, and a replica can't wait for the next.
+		const served = job.standing
+			? 0
+			: Math.floor(Math.min(soonFree.all, atLimit ? own : soonFree.all, job.waiting.length));
 		soonFree.all -= served;
 		if (atLimit) soonFree.byTeam.set(spec.team, own - served);
 		let left = Math.min(job.waiting.length - served, mostPerPass);
