--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -252,7 +252,6 @@
 			const leaving = [...job.attempts.values()].filter((a) => a.machine.leaving && a.moveTo === null);
 			const waiting = job.notBefore <= now ? job.waiting.length : 0;
 			if (waiting + leaving.length === 0) continue;
-			const { spec } = job;
 			const zones = this.tables.zonesOf(job);
 			for (const { machine } of leaving) zones[machine.zone] = (zones[machine.zone] ?? 1) - 1;
 			const need = room.take(job, waiting + leaving.length, counted, zones);
@@ -270,16 +269,26 @@
 	 * not standing can run there meanwhile: replicas go before it.
 	 */
 	private expectReplicas(counted: Machine[], unitS: number, n: number, cpus: number, now: number): boolean {
-		const date = this.time.date().getTime();
+		const lacking = this.lackingForExpected(counted);
+		if (!lacking) return false;
+		const { job, need, zones } = lacking;
+		return this.rental !== null || this.rentForReplicas(job, need, zones, unitS, n, cpus, now);
+	}
+
+	/** The first job of the last minute that would not find room on the machines if it came again. */
+	private lackingForExpected(machines: Machine[]) {
 		const room = new Room(beside);
-		for (const job of this.tables.jobs.values()) {
-			if (!job.standing || date - job.at > expectedMs) continue;
+		for (const job of this.lastMinute()) {
 			const zones: Record<string, number> = {};
-			const need = room.take(job, job.spec.tasks, counted, zones);
-			if (need === 0) continue;
-			return this.rental !== null || this.rentForReplicas(job, need, zones, unitS, n, cpus, now);
+			const need = room.take(job, job.spec.tasks, machines, zones);
+			if (need > 0) return { job, need, zones };
 		}
-		return false;
+		return null;
+	}
+
+	private lastMinute(): Job[] {
+		const date = this.time.date().getTime();
+		return [...this.tables.jobs.values()].filter((job) => job.standing && date - job.at <= expectedMs);
 	}
 
 	private rentForReplicas(
@@ -293,17 +302,7 @@
 	): boolean {
 		const { spec } = job;
 		const full = new Set(Object.keys(zones).filter((zone) => zoneRoom(spec, zones, zone) < 1));
-		// As many again are on their way, more often than not.
-		return this.rentFor(job, 0, unitS, n, cpus, now, need * spec.cpus + this.lastMinute(), full) === "asked";
-	}
-
-	/** Cores of the replicas that came in the last minute. */
-	private lastMinute(): number {
-		const date = this.time.date().getTime();
-		let sum = 0;
-		for (const { standing, at, spec } of this.tables.jobs.values())
-			if (standing && date - at <= expectedMs) sum += spec.tasks * spec.cpus;
-		return sum;
+		return this.rentFor(job, 0, unitS, n, cpus, now, need, full) === "asked";
 	}
 
 	/** Takes back the mark of a machine with room for the job; false if there is none. */
@@ -392,6 +391,9 @@
 			const holder = counted.find((m) => couldHold(m, job));
 			if (holder) marked.delete(holder);
 		}
+		// Nor what is kept for replicas that may come: it would be rented again at once.
+		const lacking = this.lackingForExpected(counted.filter((m) => !marked.has(m)));
+		if (lacking) for (const m of marked) if (machineAllowed(lacking.job.spec, m)) marked.delete(m);
 		if (marked.size === 0) return;
 		for (const machine of marked) machine.marked = true;
 		this.log.info({ machines: [...marked].map((m) => m.id) }, "marked to drain and return");
@@ -421,7 +423,7 @@
 		n: number,
 		cpus: number,
 		now: number,
-		needed = 0,
+		replicas = 0,
 		full: ReadonlySet<string> = new Set(),
 	): "asked" | "not now" | "nothing to be had" {
 		if (this.rental) return "not now";
@@ -432,7 +434,7 @@
 		const offers = rankOffers(
 			offersFor(job.spec, [...this.tables.types.values()]),
 			job.spec,
-			needed > 0 ? needed : Math.max(usable - cpus, job.spec.cpus),
+			replicas > 0 ? this.comingCpus(job, replicas) : Math.max(usable - cpus, job.spec.cpus),
 		);
 		const open = offers.filter(
 			(o) =>
@@ -454,6 +456,10 @@
 		let count = machinesToCut(work, n, cpus, offer.type.cpus, this.settings.climb.high * unitS, mostPerCall);
 		// Cores beyond what the teams' limits allow would stand idle.
 		count = Math.min(count, Math.ceil(Math.max(0, usable - cpus) / offer.type.cpus));
+		if (replicas > 0) {
+			const here = job.spec.spread ? Math.min(replicas, Math.ceil(job.spec.tasks / 2)) : replicas;
+			count = Math.ceil(here / tasksHeld(job.spec, offer.type));
+		}
 		if (most > 0) count = Math.min(count, most - n);
 		count = Math.max(1, Math.min(mostPerCall, count));
 		this.requestNumber += 1;
@@ -549,6 +555,13 @@
 		);
 	}
 
+	/** Cores of the replicas now, and of as many as came in the last minute: more are on their way as a rule. */
+	private comingCpus(job: Job, replicas: number): number {
+		let sum = replicas * job.spec.cpus;
+		for (const { spec } of this.lastMinute()) sum += spec.tasks * spec.cpus;
+		return sum;
+	}
+
 	private async readList(): Promise<ListedMachine[]> {
 		const all: ListedMachine[] = [];
 		let after = "";
