--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -97,7 +97,8 @@
 		return this.up && this.confirmed && this.durable && this.sound;
 	}
 
-	private get sound(): boolean {
+	/** Nothing but a mark of the hill climb can keep it from being used. */
+	get sound(): boolean {
 		return !this.lost && !this.faulty && !this.returning && this.deafAt === null && this.takenAt === null;
 	}
 
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -307,20 +307,10 @@
 
 	/** Takes back the mark of a machine with room for the job; false if there is none. */
 	private unmarkFor(job: Job): boolean {
-		const { spec } = job;
 		for (const machine of this.tables.machines.values()) {
-			if (!machine.marked || machine.returning) continue;
+			if (!machine.marked || !machine.sound) continue;
+			if (!machineAllowed(job.spec, machine) || !machine.hasRoomFor(job.spec)) continue;
 			machine.marked = false;
-			const room =
-				machine.counts &&
-				machineAllowed(spec, machine) &&
-				machine.freeCpus >= spec.cpus &&
-				machine.freeGpus >= spec.gpus &&
-				machine.freeMemory >= spec.memoryGb;
-			if (!room) {
-				machine.marked = true;
-				continue;
-			}
 			this.tables.changed = true;
 			this.log.info({ machines: [machine.id], job: job.id }, "unmarked");
 			return true;
