Where cancel_s hardly exceeds a lease, a leader that is served still leads

Found on reading the whole change: with a bound of nothing, authority by renewals would have ended with it, and the service with both.

--- a/src/coordination/leadership.ts
+++ b/src/coordination/leadership.ts
@@ -14,6 +14,8 @@
 export const drift = 0.001;
 /** A put sent without an answer may be applied minutes late. */
 const uncertainMs = 5 * 60_000;
+/** Changes of the store are known within this, as long as it answers. */
+const hearingMs = 8000;
 /** Answers to older questions than this many are of no use. */
 const asksKept = 40;
 
@@ -102,7 +104,11 @@
 	}
 
 	private knowingUntil(): number {
-		return Math.max(this.hooks.knownAt(), this.earliest(this.vouched)) + this.settings.unknowingMs;
+		const known = Math.max(this.hooks.knownAt(), this.earliest(this.vouched));
+		// Where cancel_s hardly exceeds a lease no bound could be kept between two answers of a
+		// watch. A leader that the store serves goes on for long enough to hear the next.
+		const served = this.time.now() < this.validFrom(this.renewedAt);
+		return known + (served ? Math.max(this.settings.unknowingMs, hearingMs) : this.settings.unknowingMs);
 	}
 
 	/** The earliest of the times noted for the others, one not noted being the earliest of all. */
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -126,6 +126,7 @@
 /** One Leadership against the stand-in store, with what it tells others kept. */
 function candidate(
 	others: string[],
+	unknowingMs = 20_000,
 	state = { time: new FakeTime() as FakeTime, service: null as StateService | null },
 ) {
 	const time = state.time;
@@ -154,7 +155,7 @@
 	const leadership = new Leadership(
 		"me",
 		"inc",
-		{ ttlMs: 3000, marginMs: 300, unknowingMs: 20_000 },
+		{ ttlMs: 3000, marginMs: 300, unknowingMs },
 		store,
 		time,
 		(command) => command(),
@@ -325,6 +326,19 @@
 	assert.match(c.lost[0] as string, /changes of the store/);
 });
 
+test("where cancel_s hardly exceeds a lease a leader that is served still leads, and none without the store", async () => {
+	const c = candidate(["a"], 0);
+	const { epoch, answer } = await inOutage(c);
+	await answer(3500, { a: [] });
+	assert.equal(c.leadership.authority(), null, "promised or not");
+	c.service.setOutage(false);
+	await c.run(1000);
+	assert.equal(c.leadership.authority(), epoch);
+	c.copy.stuck = true;
+	await c.run(8500);
+	assert.equal(c.leadership.authority(), null);
+});
+
 test("a copy's knowledge is as old as the request that brought it, however late the answer comes", async () => {
 	const time = new FakeTime();
 	const service = new StateService(time);
