Faulty jobs and faulty machines are told apart by distinct jobs and machines

A failure now counts against its machine only while the job has failed nowhere else, half if no task of it ever succeeded, and fully once it succeeds elsewhere; a job that fails on two machines is tried again with growing pauses.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -19,6 +19,11 @@
 	stop: { graceS: number; why: string } | null;
 }
 
+/** A job that failed on so many machines, and on none succeeded since, is taken to fail on all. */
+const failsEverywhereFrom = 3;
+/** The same with so many failures, where there are too few machines to tell. */
+const failsEverywhereFailures = 8;
+
 /** A live job as its leader sees it. */
 export class Job {
 	readonly done: TaskSet;
@@ -36,7 +41,9 @@
 	finishedRuns = 0;
 	finishedSeconds = 0;
 	/** Machines on which tasks of this job failed since one last succeeded. */
-	readonly failedOn = new Set<string>();
+	readonly failedOn = new Set<Machine>();
+	/** Tasks of this job that failed since one last succeeded. */
+	failuresInRow = 0;
 	/** Steady time of the last of these failures. */
 	failedAt = -Infinity;
 	notBefore = 0;
@@ -81,7 +88,16 @@
 
 	/** Failing wherever it goes: tried again now and then, and kept out of the load. A replica is tried all along. */
 	get failsEverywhere(): boolean {
-		return !this.standing && this.failedOn.size >= 3;
+		if (this.standing || !this.failsOnSeveral) return false;
+		let machines = 0;
+		// What a faulty machine does to a job says nothing of the job.
+		for (const machine of this.failedOn) if (!machine.quarantinedForFailures) machines += 1;
+		return machines >= failsEverywhereFrom || this.failuresInRow >= failsEverywhereFailures;
+	}
+
+	/** It has failed on more than one machine and succeeded on none since: perhaps the fault is its own. */
+	get failsOnSeveral(): boolean {
+		return this.failedOn.size > 1;
 	}
 
 	/** Tasks that run, or save before they end. */
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -1,5 +1,5 @@
 import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
-import type { Attempt } from "./jobs.js";
+import type { Attempt, Job } from "./jobs.js";
 
 export interface UnwantedTask {
 	job: string;
@@ -41,8 +41,10 @@
 	probationAt = -Infinity;
 	/** Marked by the hill climb to drain and go back. */
 	draining = false;
-	/** Set aside as faulty, sick or slow. */
+	/** Set aside as faulty or slow. */
 	quarantined = false;
+	/** Set aside for failures, which may turn out to be the jobs' fault. */
+	quarantinedForFailures = false;
 	/** Once a return was requested, nothing starts here any more, whatever the answer. */
 	returning = false;
 	/** Known from a list alone: no request of this leader and no report names it. */
@@ -57,7 +59,8 @@
 	private readonly reserved = { cpus: 0, gpus: 0, memory: 0 };
 	/** Images that it should have, latest last. */
 	readonly images = new Set<string>();
-	readonly failedJobs = new Set<string>();
+	/** Jobs of which tasks failed here since one last succeeded here. */
+	readonly failedJobs = new Set<Job>();
 	/** After a failure only one task at a time is risked until one succeeds. */
 	onProbation = false;
 	/** Runs finished here against the mean of their jobs, to find machines that are much too slow. */
@@ -120,13 +123,18 @@
 		this.probationAt = now;
 	}
 
+	releaseFromQuarantine(): void {
+		this.quarantined = false;
+		this.quarantinedForFailures = false;
+	}
+
 	/**
 	 * Trouble ends, and the tasks that are here may run for long: so a trial ends by itself,
 	 * and a machine set aside that could not go back yet gets another.
 	 */
 	endProbation(now: number): void {
 		if (this.quarantined && now - this.probationAt > asideMs) {
-			this.quarantined = false;
+			this.releaseFromQuarantine();
 			this.failedJobs.clear();
 			this.runs = 0;
 			this.startProbation(now);
--- a/src/coordination/grants.ts
+++ b/src/coordination/grants.ts
@@ -106,7 +106,7 @@
 		job: job.id,
 		count,
 		// For a while only: there may be no others, and what was wrong there may be over.
-		avoid: job.failsEverywhere || now - job.failedAt > avoidMs ? [] : [...job.failedOn],
+		avoid: job.failsEverywhere || now - job.failedAt > avoidMs ? [] : [...job.failedOn].map((m) => m.id),
 		zones: spec.oneZone || spec.spread ? clusterState.zonesOf(job) : {},
 		...(job.standing && { beside: [...job.attempts.values()].map((a) => a.machine.id) }),
 	};
--- a/src/coordination/task-outcomes.ts
+++ b/src/coordination/task-outcomes.ts
@@ -10,9 +10,12 @@
 const steadyMs = 30_000;
 /** Pauses before a task that failed is tried again. */
 const replicaPause = { firstMs: 250, mostDoublings: 6, mostMs: 10_000 };
-const failsEverywherePause = { firstMs: 2000, mostDoublings: 5, mostMs: 60_000 };
-/** A job is doomed from so many machines on. */
-const failsEverywhereFrom = 3;
+const failsOnSeveralPause = { firstMs: 250, mostDoublings: 8, mostMs: 60_000 };
+
+/** What the failure of a job of which no task has ever succeeded says of the machine. */
+const unprovenJobWeight = 0.5;
+
+const mostStepsByFailures = 4;
 
 interface Pause {
 	firstMs: number;
@@ -20,6 +23,11 @@
 	mostMs: number;
 }
 
+/** With few machines in all the count of failures stands for that of machines, up to a few seconds. */
+function failureSteps({ failedOn, failuresInRow }: Job): number {
+	return Math.max(failedOn.size, Math.min(mostStepsByFailures, Math.floor(Math.log2(failuresInRow))));
+}
+
 function pauseMs({ firstMs, mostDoublings, mostMs }: Pause, doublings: number): number {
 	return Math.min(mostMs, firstMs * 2 ** Math.min(mostDoublings, doublings));
 }
@@ -42,7 +50,12 @@
 		if (runningAt !== null) this.recordRun(job, machine, (now - runningAt) / 1000, now);
 		machine.onProbation = false;
 		machine.failedJobs.clear();
+		// The job is sound, so what failed before was the machines' fault.
+		const failedOn = [...job.failedOn];
 		job.failedOn.clear();
+		job.failuresInRow = 0;
+		job.notBefore = 0;
+		for (const other of failedOn) this.judge(other, now);
 	}
 
 	private recordRun(job: Job, machine: Machine, seconds: number, now: number): void {
@@ -62,20 +75,50 @@
 		// One that ran for long and failed says little of where it starts next.
 		const ranWell = attempt.runningAt !== null && now - attempt.runningAt > steadyMs;
 		if (job.standing && ranWell) job.failedOn.clear();
-		job.failedOn.add(machine.id);
+		job.failedOn.add(machine);
+		job.failuresInRow += 1;
 		job.failedAt = now;
 		if (job.standing) job.notBefore = now + pauseMs(replicaPause, job.failedOn.size);
-		// It fails everywhere: tried again with growing pauses.
-		if (job.failsEverywhere)
-			job.notBefore = now + pauseMs(failsEverywherePause, job.failedOn.size - failsEverywhereFrom);
-		if (cause === "error") this.suspectMachine(machine, job, now);
+		// Perhaps it fails everywhere: tried again with growing pauses.
+		else if (job.failsOnSeveral) job.notBefore = now + pauseMs(failsOnSeveralPause, failureSteps(job));
+		if (cause !== "error") return;
+		machine.failedJobs.add(job);
+		// Whatever was held against the others for this job may now be the job's fault.
+		if (job.failedOn.size > 1) this.acquit(job);
+		else machine.startProbation(now);
+		this.judge(machine, now);
+	}
+
+	/**
+	 * A job with a mistake fails wherever it runs, and a faulty machine fails whatever runs there. A
+	 * failure counts against its machine only as long as the job has failed nowhere else since it last
+	 * succeeded, and for less if it never did: faulty jobs that come together must not cost a machine.
+	 */
+	private evidenceAgainst(machine: Machine): number {
+		let evidence = 0;
+		for (const job of machine.failedJobs) {
+			const elsewhere = [...job.failedOn].some((other) => other !== machine);
+			if (!elsewhere) evidence += job.done.count > 0 ? 1 : unprovenJobWeight;
+		}
+		return evidence;
 	}
 
-	private suspectMachine(machine: Machine, job: Job, now: number): void {
-		machine.startProbation(now);
-		machine.failedJobs.add(job.id);
-		if (machine.failedJobs.size < this.faultyAfter || machine.quarantined) return;
+	private judge(machine: Machine, now: number): void {
+		if (machine.quarantined || this.evidenceAgainst(machine) < this.faultyAfter) return;
 		machine.quarantine(now);
+		machine.quarantinedForFailures = true;
 		this.log.info({ machine: machine.id }, "set aside as faulty");
 	}
+
+	/** The job has failed on several machines: those against which nothing else stands are not to blame. */
+	private acquit(job: Job): void {
+		for (const machine of job.failedOn) {
+			const evidence = this.evidenceAgainst(machine);
+			if (evidence === 0) machine.onProbation = false;
+			if (evidence >= this.faultyAfter || !machine.quarantinedForFailures || machine.returning) continue;
+			machine.releaseFromQuarantine();
+			this.clusterState.placementDue = true;
+			this.log.info({ machine: machine.id, job: job.id }, "no longer set aside: the job fails elsewhere too");
+		}
+	}
 }
