A process that stood still confirms its authority before it acts

The gap between batches of commands is measured by the steady clock; after 2 s and more, one log line tells its length, authority waits for a renewal or promises asked for since, held answers and batches are dropped, and silence of the store, peers and workers is judged anew. A call whose deadline passed in the pause first has its answer read.

--- a/src/coordination/command-queue.ts
+++ b/src/coordination/command-queue.ts
@@ -7,6 +7,7 @@
 export class CommandQueue {
 	private queue: (() => void)[] = [];
 	private scheduled = false;
+	private readonly beforeBatch: (() => void)[] = [];
 	private readonly afterBatch: (() => void)[] = [];
 
 	constructor(
@@ -14,6 +15,11 @@
 		private readonly failed: (error: unknown) => void,
 	) {}
 
+	/** Runs before the first command of a batch acts. */
+	onBatchStart(run: () => void): void {
+		this.beforeBatch.push(run);
+	}
+
 	onBatchEnd(run: () => void): void {
 		this.afterBatch.push(run);
 	}
@@ -41,6 +47,7 @@
 		const batch = this.queue;
 		this.queue = [];
 		this.scheduled = false;
+		for (const run of this.beforeBatch) this.guard(run);
 		for (const command of batch) this.guard(command);
 		for (const run of this.afterBatch) this.guard(run);
 	}
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -33,6 +33,7 @@
 	type WorkerPort,
 } from "./ports.js";
 import { AnswerBatches, Relay } from "./relay.js";
+import { StallDetector } from "./stall-detector.js";
 import { StoreSync } from "./store-sync.js";
 
 export interface ControllerPorts {
@@ -148,6 +149,11 @@
 			(id) => (this.leader ? this.leader.runningCount(id) : (this.running.get(id) ?? 0)),
 		);
 		this.storeCopy.onChange((key) => this.changed(key));
+		const stalls = new StallDetector(time);
+		this.commands.onBatchStart(() => {
+			const stalledMs = stalls.observe();
+			if (stalledMs !== null) this.stalled(stalledMs);
+		});
 		this.commands.onBatchEnd(() => this.leader?.maybePlace());
 	}
 
@@ -174,6 +180,20 @@
 		return !alone && now - this.othersServedAt > isolatedMs;
 	}
 
+	/**
+	 * The process stood still while its clocks ran on, and others may have acted since. Nothing that
+	 * was known, decided or half done before counts until it is confirmed: authority by a fresh
+	 * answer, and silence of the store, the workers and the other controllers by a fresh wait.
+	 */
+	private stalled(stalledMs: number): void {
+		this.ports.log.info({ stalledMs: Math.round(stalledMs) }, "this process stood still");
+		this.leadership.stalled();
+		this.storeSync.stalled();
+		this.relay.stalled();
+		this.answers.stalled();
+		this.leader?.stalled(stalledMs);
+	}
+
 	private scheduleTick(): void {
 		this.ports.time.after(tickMs, () => {
 			if (this.stopped) return;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -425,6 +425,16 @@
 
 	// --- time ---
 
+	/** The process stood still; see `Controller.stalled`. */
+	stalled(stalledMs: number): void {
+		const now = this.ports.time.now();
+		// Nothing was late but this process as a whole, and it is no longer.
+		this.lastTick = now;
+		this.held.refuseAll();
+		this.takeover.stalled(stalledMs);
+		this.placement.stalled();
+	}
+
 	tick(): void {
 		if (!this.active) return;
 		const now = this.ports.time.now();
--- a/src/coordination/leadership.ts
+++ b/src/coordination/leadership.ts
@@ -50,6 +50,8 @@
 	private nextRenewal = 0;
 	private nextCampaign = 0;
 	private renewedAt = -Infinity;
+	/** Answers to requests sent before this confirm nothing: the process stood still until then. */
+	private confirmFrom = -Infinity;
 	/** By controller: until when it will not campaign. */
 	private readonly promises = new Map<string, number>();
 	/** By controller: all that its node has told users of cancellations up to then is known here. */
@@ -100,7 +102,28 @@
 		if (this.heldTerm === null) return null;
 		const now = this.time.now();
 		const alone = this.others.length === 0;
-		return (alone || now < this.unchallengedUntil) && now < this.knowingUntil() ? this.heldTerm : null;
+		const unchallenged = alone || now < this.unchallengedUntil;
+		return unchallenged && this.confirmed && now < this.knowingUntil() ? this.heldTerm : null;
+	}
+
+	/**
+	 * The process stood still. Its clock says whether its lease can have run out, so this guards
+	 * against nothing that the times do not: it makes a leader that wakes up act on a fresh answer
+	 * of the store, or of every other controller, and not on what was so before.
+	 */
+	stalled(): void {
+		this.confirmFrom = this.time.now();
+		// The request under way was sent before; its answer, if any, confirms nothing.
+		this.renewing = false;
+		this.nextRenewal = this.confirmFrom;
+		this.nextRequest = this.confirmFrom;
+	}
+
+	/** A renewal, or a promise of every other controller, was asked for since the process last stood still. */
+	private get confirmed(): boolean {
+		return (
+			this.renewedAt >= this.confirmFrom || this.earliest(this.promises) >= this.promiseEnd(this.confirmFrom)
+		);
 	}
 
 	private knowingUntil(): number {
@@ -147,6 +170,11 @@
 		else if (message.kind === "promise") this.promised(from, message, now);
 	}
 
+	/** The end of a promise that was asked for at the time given, as its receiver counts. */
+	private promiseEnd(sentAt: number): number {
+		return sentAt + this.promiseMs * (1 - drift) - this.settings.marginMs;
+	}
+
 	private promised(from: string, message: CampaignPromise, now: number): void {
 		// What it names is so, however old the message is, and is carried out before anything is counted.
 		if (message.cancelled) this.hooks.learn(message.cancelled);
@@ -157,7 +185,7 @@
 		if (message.cancelled) latest(this.cancellationsKnownAt, sentAt);
 		// Whoever promises now may have led in between, in a process that has ended since.
 		if (now >= this.unchallengedUntil) return;
-		const until = sentAt + this.promiseMs * (1 - drift) - this.settings.marginMs;
+		const until = this.promiseEnd(sentAt);
 		latest(this.promises, until);
 		this.unchallengedUntil = Math.max(this.unchallengedUntil, this.earliest(this.promises));
 		this.log.debug({ from, forMs: Math.round(until - now) }, "promise received");
--- a/src/coordination/peer-monitor.ts
+++ b/src/coordination/peer-monitor.ts
@@ -16,6 +16,8 @@
 /** A relay answers twice a second. */
 const relaySilentMs = 1200;
 const pingEveryMs = 500;
+/** Ticks further apart than this show that this process could not act in between. */
+const pauseMs = 1500;
 
 export interface PeerMonitorOptions {
 	term: number;
@@ -38,6 +40,9 @@
 	private readonly redirected = new Map<string, { at: number; count: number }>();
 	/** Looks in a row at which most machines were not heard. */
 	private unreachableLooks = 0;
+	/** Whether workers reach this node is not judged before this: they need time to come. */
+	private judgeFrom: number;
+	private lastTickAt: number;
 	/** Whether the other controllers receive reports and pass them on. */
 	private relaying = false;
 	private nextPing = 0;
@@ -56,10 +61,22 @@
 		this.clusterState = options.clusterState;
 		this.peers = options.peers;
 		this.log = options.log;
+		this.judgeFrom = options.beganAt + afterTakeoverMs;
+		this.lastTickAt = options.beganAt;
+	}
+
+	/** Without authority for a while, or standing still, it cannot have heard anybody. */
+	private noticePause(now: number): void {
+		if (now - this.lastTickAt > pauseMs) {
+			this.unreachableLooks = 0;
+			this.judgeFrom = Math.max(this.judgeFrom, now + afterTakeoverMs);
+		}
+		this.lastTickAt = now;
 	}
 
 	/** Called often, with authority; tells the others twice a second how things stand. */
 	tick(now: number, counts: () => [string, number][]): void {
+		this.noticePause(now);
 		if (now < this.nextPing) return;
 		this.nextPing = now + pingEveryMs;
 		const ears = this.reachable(now);
@@ -156,7 +173,7 @@
 	 * the others hear more machines than this node does, one of them had better lead.
 	 */
 	private stepAside(now: number, { up, heard }: { up: number; heard: number }): void {
-		if (now - this.options.beganAt < afterTakeoverMs) return;
+		if (now < this.judgeFrom) return;
 		let strays = 0;
 		for (const { at, count } of this.redirected.values())
 			if (now - at < 2000) strays = Math.max(strays, count);
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -64,6 +64,12 @@
 		if (this.clusterState.rebuilt) this.place(now);
 	}
 
+	/** The process stood still: proposals for tables of before are not waited for, and nobody was silent. */
+	stalled(): void {
+		this.outstanding.clear();
+		this.clusterState.placementDue = true;
+	}
+
 	inOrder(jobs: Job[]): Job[] {
 		const { quotas, machines } = this.clusterState;
 		let cpus = 0;
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -66,6 +66,12 @@
 		}
 	}
 
+	/** The process stood still: workers have given up what waits here, and the link to the leader is not to blame. */
+	stalled(): void {
+		this.batch = [];
+		this.giveUp(Number.POSITIVE_INFINITY);
+	}
+
 	/** Called often. */
 	tick(): void {
 		if (this.pending.size === 0) return;
@@ -106,6 +112,11 @@
 		this.time.after(gatherRelayedMs, () => this.send(to));
 	}
 
+	/** The process stood still: orders that were decided before are out of date. */
+	stalled(): void {
+		this.batches.clear();
+	}
+
 	private send(to: string): void {
 		const batch = this.batches.get(to);
 		if (!batch) return;
--- a/src/coordination/store-sync.ts
+++ b/src/coordination/store-sync.ts
@@ -35,6 +35,8 @@
 	 */
 	knownAt = -Infinity;
 	private failedAt = -Infinity;
+	/** The process stood still until then: no silence counts from before. */
+	private awakeSince = -Infinity;
 	private doubtful = new Set<string>();
 
 	constructor(
@@ -114,7 +116,13 @@
 
 	/** Nothing has been heard of the store for longer than a watch lasts, and calls fail. */
 	get silent(): boolean {
-		return this.time.now() - this.heardAt > silentMs && this.failedAt > this.heardAt;
+		const lastSignAt = Math.max(this.heardAt, this.awakeSince);
+		return this.time.now() - lastSignAt > silentMs && this.failedAt > this.heardAt;
+	}
+
+	/** The process stood still: calls that now fail were given up by this side, not by the store. */
+	stalled(): void {
+		this.awakeSince = this.time.now();
 	}
 
 	/** Throws if a call to the store would only keep its user waiting. */
--- a/src/coordination/takeover.ts
+++ b/src/coordination/takeover.ts
@@ -32,6 +32,8 @@
 	private readonly probes: Probe[] = [];
 	/** Stands for machines whose records cannot be read, until their leases have run out. */
 	private unreadable: Machine | null = null;
+	/** Silence of machines is judged by the time since then. */
+	private listeningSince: number;
 
 	constructor(
 		private readonly clusterState: ClusterState,
@@ -39,7 +41,14 @@
 		private readonly beganAt: number,
 		private readonly hooks: TakeoverHooks,
 		private readonly log: Log,
-	) {}
+	) {
+		this.listeningSince = beganAt;
+	}
+
+	/** The process stood still: machines can have been silent only while it listened. */
+	stalled(stalledMs: number): void {
+		this.listeningSince += stalledMs;
+	}
 
 	/** The machine may hold tasks that nobody has listed yet. */
 	hide(machine: Machine, session: number): void {
@@ -104,7 +113,7 @@
 	 */
 	private giveUpHidden(now: number): void {
 		const { awaited: hidden, machines } = this.clusterState;
-		const waitedMs = now - this.beganAt;
+		const waitedMs = now - this.listeningSince;
 		if (hidden.size === 0 || waitedMs < hiddenPatienceMs) return;
 		// The fewer are left, the sooner waiting for them costs more than they do.
 		const share = Math.min(1 / 5, 0.01 * 2 ** ((waitedMs - hiddenPatienceMs) / 1000));
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -13,6 +13,11 @@
 	close(): void;
 }
 
+/** A deadline noticed later than this passed while the process stood still. */
+const noticedLateMs = 500;
+/** So long an answer that came meanwhile may take to be read. */
+const lateAnswerGraceMs = 50;
+
 /** One outside system reached over kept-open connections; every call has a deadline. */
 export class HttpClient implements HttpCaller {
 	private readonly agent: Agent;
@@ -73,7 +78,14 @@
 				} else connected = true;
 			});
 			req.on("error", (error) => fail(error.message));
-			const timer = setTimeout(() => fail("no answer in time"), deadlineMs);
+			const due = performance.now() + deadlineMs;
+			const expire = () => fail("no answer in time");
+			// Timers run before sockets are read. After a pause of the whole process the answer may
+			// have been here for long, and the other side is not to blame.
+			let timer = setTimeout(() => {
+				if (performance.now() - due > noticedLateMs) timer = setTimeout(expire, lateAnswerGraceMs);
+				else expire();
+			}, deadlineMs);
 			req.end(payload);
 		});
 	}
