Machines that are late in coming up count as missing; wide tasks get a machine kept; caps by need

Direct orders on their way, probes of a takeover, preemption, kept ends of jobs and pages of the cloud's list go by sockets, fleet, write rate and the cloud's rate instead of fixed numbers; workers close connections between reports where sockets are short.

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -17,6 +17,8 @@
 	runningAt: number | null;
 	/** A stop was decided; it is repeated until the attempt is over. */
 	stop: { graceS: number; why: string } | null;
+	/** Steady time before which it is not stopped for other work: its job had to wait for too long to begin. */
+	keptUntil?: number;
 }
 
 /** A job that failed on so many machines, and on none succeeded since, is taken to fail on all. */
@@ -47,6 +49,8 @@
 	/** Steady time of the last of these failures. */
 	failedAt = -Infinity;
 	notBefore = 0;
+	/** A machine was reserved for its first task, which is done once for each job. */
+	hadReservation = false;
 	/** Steady time until which the leader places it, whoever its team's placer is. */
 	placedHereUntil = 0;
 	/** Steady time at which this leader came to know it. */
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -39,8 +39,14 @@
 	redirectedAt = -Infinity;
 	/** Steady time at which it was last put on trial or set aside. */
 	probationAt = -Infinity;
+	/** Rented by this leader, which thus knows when that was. */
+	rentedHere = false;
+	/** Booting for so long that another is to be had in its place. */
+	overdue = false;
 	/** Marked by the hill climb to drain and go back. */
 	draining = false;
+	/** Kept free of new work until a task of this job fits. */
+	reservedFor: Job | null = null;
 	/** Set aside as faulty or slow. */
 	quarantined = false;
 	/** Set aside for failures, which may turn out to be the jobs' fault. */
@@ -92,7 +98,7 @@
 
 	/** Counts as capacity that is there or on its way. */
 	get countsAsCapacity(): boolean {
-		return !this.draining && this.usable;
+		return !this.draining && !this.overdue && this.usable;
 	}
 
 	/** What was decided for it may still be started: nothing but the hill climb's mark is in the way. */
--- a/src/bookkeeping/store-copy.ts
+++ b/src/bookkeeping/store-copy.ts
@@ -16,11 +16,12 @@
 } from "./records.js";
 import { countInPage } from "./task-set.js";
 
-/** Forgets the oldest beyond the number kept. */
-function trim(latest: Map<string, unknown>): void {
-	if (latest.size <= terminalKept) return;
-	const oldest = latest.keys().next().value;
-	if (oldest !== undefined) latest.delete(oldest);
+/** Forgets the oldest beyond the number kept, and returns it. */
+function trim<T>(latest: Map<string, T>, kept: number): T | undefined {
+	if (latest.size <= kept) return undefined;
+	const [id, oldest] = latest.entries().next().value as [string, T];
+	latest.delete(id);
+	return oldest;
 }
 
 export interface Versioned<T> {
@@ -28,8 +29,13 @@
 	revision: number;
 }
 
-const terminalKept = 5000;
-const cancellationsKept = 2000;
+/** Ends of jobs that are kept in memory, at least; older ones are read from the store when asked for. */
+const leastTerminalKept = 5000;
+/** Cancellations that are kept for promises, at least. */
+const leastCancellationsKept = 2000;
+/** Every end of a job is two changes of the store, so its rate bounds how many there are in this time. */
+const keptForS = 300;
+const changesPerEnd = 2;
 
 /** A job whose cancellation is in the store, and the revision of that. */
 export interface CancelledJob {
@@ -67,7 +73,18 @@
 	private readonly malformed = new Set<string>();
 	private readonly listeners: ((key: string) => void)[] = [];
 
-	constructor(private readonly onMalformed: (key: string, error: MalformedMessageError) => void = () => {}) {}
+	private readonly terminalKept: number;
+	private readonly cancellationsKept: number;
+
+	constructor(
+		private readonly onMalformed: (key: string, error: MalformedMessageError) => void = () => {},
+		/** Changes that the store takes in a second. */
+		changesPerS = 0,
+	) {
+		const ends = (changesPerS * keptForS) / changesPerEnd;
+		this.terminalKept = Math.max(leastTerminalKept, ends);
+		this.cancellationsKept = Math.max(leastCancellationsKept, ends);
+	}
 
 	onChange(listener: (key: string) => void): void {
 		this.listeners.push(listener);
@@ -229,7 +246,7 @@
 	/** Whoever brings the news, the job is no longer live: the watch may be stuck from here on. */
 	recordTerminal(id: string, record: TerminalRecord, revision: number): void {
 		this.terminal.set(id, record);
-		trim(this.terminal);
+		trim(this.terminal, this.terminalKept);
 		if (record.status === "cancelled") this.noteCancelled({ id, record, revision });
 		if (this.dropLive(id)) this.notify(keys.job(id));
 	}
@@ -238,7 +255,7 @@
 		const live = this.jobs.get(id);
 		if (!live) return false;
 		this.demands.set(id, demandOf(live.value.spec));
-		trim(this.demands);
+		trim(this.demands, this.terminalKept);
 		return this.jobs.delete(id);
 	}
 
@@ -249,10 +266,8 @@
 
 	private noteCancelled(job: CancelledJob): void {
 		this.cancelled.set(job.id, job);
-		if (this.cancelled.size <= cancellationsKept) return;
-		const oldest = this.cancelled.values().next().value as CancelledJob;
-		this.cancelled.delete(oldest.id);
-		this.cancelledAfter = Math.max(this.cancelledAfter, oldest.revision);
+		const dropped = trim(this.cancelled, this.cancellationsKept);
+		if (dropped) this.cancelledAfter = Math.max(this.cancelledAfter, dropped.revision);
 	}
 
 	/**
--- a/src/coordination/cluster-state.ts
+++ b/src/coordination/cluster-state.ts
@@ -168,6 +168,7 @@
 		if (job.cancelled || job.ending) return "job is over";
 		if (!machine.schedulable) return "machine is not open";
 		if (this.exhausted) return "attempt numbers used up";
+		if (machine.reservedFor !== null && machine.reservedFor !== job) return "machine is reserved";
 		if (!machineAllowed(spec, machine)) return "machine not allowed";
 		if (!machine.hasRoomFor(spec)) return "no room";
 		if (machine.onProbation && machine.attempts.size > 0) return "machine is on trial";
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -99,8 +99,9 @@
 			),
 		);
 		const post = (command: () => void) => this.commands.post(command);
-		this.storeCopy = new StoreCopy((key, error) =>
-			log.error({ key, err: error.message }, "malformed value in the state service"),
+		this.storeCopy = new StoreCopy(
+			(key, error) => log.error({ key, err: error.message }, "malformed value in the state service"),
+			platform.cluster.state.write_rps,
 		);
 		this.storeSync = new StoreSync(this.storeCopy, store, time, post, log);
 		this.relay = new Relay(ports.peers, time);
--- a/src/coordination/drain.ts
+++ b/src/coordination/drain.ts
@@ -63,7 +63,10 @@
 		// What was rented for replicas is the idlest of all until they are there.
 		const unsettled = this.unsettled();
 		return machines
-			.filter((machine) => !unsettled.some((job) => machineAllowed(job.spec, machine)))
+			.filter(
+				(machine) =>
+					machine.reservedFor === null && !unsettled.some((job) => machineAllowed(job.spec, machine)),
+			)
 			.map((machine) => this.candidate(machine, now))
 			.filter((c) => !c.replicas || replicas.couldLeave(c.machine, machines))
 			.sort((a, b) => Number(a.replicas) - Number(b.replicas) || a.worth - b.worth);
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -2,6 +2,7 @@
 import type { Machine } from "../bookkeeping/machines.js";
 import type { OperatorSettings } from "../protocol/operator.js";
 import type { StartObjective } from "../protocol/settings.js";
+import { BootTimes } from "./boot-times.js";
 import type { ClusterState } from "./cluster-state.js";
 import { Drain } from "./drain.js";
 import { couldHold, type FleetLook, lookAtFleet } from "./load.js";
@@ -53,6 +54,7 @@
 	private readonly returns: MachineReturns;
 	private readonly rentals: Rentals;
 	private readonly drain: Drain;
+	private readonly bootTimes: BootTimes;
 	private readonly replicas: ReplicaCapacity;
 	private counters: Counters = { up: 0, down: 0 };
 	private nextRound: number;
@@ -70,11 +72,13 @@
 			hooks.gone(machine);
 		};
 		const isGone = (machine: string) => this.returns.isGone(machine);
+		this.bootTimes = new BootTimes(settings.machines.boot_times);
 		this.returns = new MachineReturns(
 			clusterState,
 			cloud,
 			time,
-			settings.machines,
+			settings.machines.silent_extra_s * 1000,
+			this.bootTimes,
 			options.leaseMs,
 			{ post, gone },
 			log,
@@ -104,6 +108,7 @@
 	/** Called a few times a second, in the queue, with authority. */
 	tick(): void {
 		const now = this.time.now();
+		this.noteOverdue(now);
 		this.returns.tick(now);
 		this.list.tick(now);
 		if (now < this.nextRound || !this.list.looked || !this.clusterState.rebuilt) return;
@@ -111,6 +116,11 @@
 		this.round(lookAtFleet(this.clusterState, now, this.climb));
 	}
 
+	/** The machine has reported to this leader for the first time. */
+	cameUp(machine: Machine): void {
+		if (machine.rentedHere) this.bootTimes.noteUp(machine, this.time.now());
+	}
+
 	/** The machine's return was answered. */
 	isGone(machine: string): boolean {
 		return this.returns.isGone(machine);
@@ -121,6 +131,18 @@
 		return this.list.lacks(machine);
 	}
 
+	/** What was rented and is late no longer counts as coming; it does again once it is up. */
+	private noteOverdue(now: number): void {
+		for (const machine of this.clusterState.machines.values()) {
+			const before = machine.overdue;
+			machine.overdue = this.bootTimes.isOverdue(machine, now);
+			if (before || !machine.overdue) continue;
+			const { id, type, zone, rentedAt } = machine;
+			const bootingS = Math.round((now - rentedAt) / 1000);
+			this.log.info({ machine: id, type: type.name, zone, bootingS }, "late in coming up");
+		}
+	}
+
 	/** The up counter acts again in a round that comes at once. */
 	private hurry(): void {
 		this.nextRound = Math.min(this.nextRound, this.time.now() + nextRoundSoonMs);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -73,6 +73,9 @@
 const busyMs = 40;
 /** Weight of the latest tick in that average. */
 const latenessWeight = 0.2;
+/** Of the sockets that the process may have, so many are for orders that go straight to workers. */
+const orderSocketsPart = 0.1;
+const leastOrdersInFlight = 8;
 /** How often `tick` is called. */
 export const tickMs = 100;
 
@@ -128,7 +131,8 @@
 		const { clusterState } = this;
 		const { time, log, post } = ports;
 		const active = () => this.active;
-		this.orders = new OrderSender(term, ports.workers, active, log);
+		const ordersInFlight = Math.max(leastOrdersInFlight, cluster.resources.fd_limit * orderSocketsPart);
+		this.orders = new OrderSender(term, Math.floor(ordersInFlight), ports.workers, active, post, log);
 		this.held = new HeldReports(time, post, (machine) => this.answerById(machine));
 		this.outcomes = new TaskOutcomes(clusterState, settings.machines.faulty_after, log);
 		this.unwanted = new UnwantedTasks(clusterState, ports.store, time, this.orders, {
@@ -158,6 +162,7 @@
 			cycleMs: settings.placing.cycle_s * 1000,
 			silentMs: settings.placing.silent_s * 1000,
 			sample: settings.placing.sample,
+			capS: settings.climb.cap_s,
 			decided: (attempt) => this.decided(attempt),
 		});
 		const inOrder = (jobs: Job[]) => this.placement.inOrder(jobs);
@@ -344,6 +349,7 @@
 		const { machine } = applied;
 		if (machine.unwanted.length > 0) this.unwanted.stop(machine, toldBefore);
 		machine.onlyListed = false;
+		if (applied.cameUp) this.fleet.cameUp(machine);
 		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
 		for (const outcome of applied.outcomes) {
 			const { attempt, cause } = outcome;
--- a/src/coordination/machine-list.ts
+++ b/src/coordination/machine-list.ts
@@ -1,10 +1,17 @@
 import { Machine } from "../bookkeeping/machines.js";
+import type { MachineListPage } from "../protocol/cloud-api.js";
 import type { ListedMachine } from "../protocol/model.js";
 import type { ClusterState } from "./cluster-state.js";
 import { CallFailed, type CloudPort, type Log, type TimePort } from "./ports.js";
 
 const leastPauseMs = 5000;
 const retryMs = 1500;
+/** A list that took longer to read tells of too many different times. */
+const mostReadMs = 60_000;
+/** A page that was refused for the cloud's rate is asked for again after this. */
+const pageRetryMs = 500;
+/** Reading a long list must leave most of the rate to rentals and returns. */
+const readTimePart = 1 / 3;
 
 export interface MachineListHooks {
 	post(command: () => void): void;
@@ -19,6 +26,7 @@
  */
 export class MachineList {
 	private reading = false;
+	private readingSince = -Infinity;
 	private nextRead = 0;
 	private names: Set<string> | null = null;
 	/** The list was read once, or cannot be read for now. */
@@ -37,6 +45,7 @@
 	tick(now: number): void {
 		if (this.reading || now < this.nextRead) return;
 		this.reading = true;
+		this.readingSince = now;
 		this.read().then(
 			(machines) => this.hooks.post(() => this.received(machines)),
 			(error) => this.hooks.post(() => this.failed(error)),
@@ -52,7 +61,7 @@
 		const all: ListedMachine[] = [];
 		let after = "";
 		for (;;) {
-			const { machines, more } = await this.cloud.list(after);
+			const { machines, more } = await this.page(after);
 			all.push(...machines);
 			const last = machines.at(-1);
 			if (!more || !last) return all;
@@ -60,11 +69,25 @@
 		}
 	}
 
+	/** A list of thousands takes more calls than one burst of the rate allows. */
+	private async page(after: string): Promise<MachineListPage> {
+		for (;;) {
+			try {
+				return await this.cloud.list(after);
+			} catch (error) {
+				const forItsRate = error instanceof CallFailed && error.status === 429;
+				if (!forItsRate || after === "" || this.time.now() - this.readingSince > mostReadMs) throw error;
+			}
+			await new Promise<void>((resolve) => this.time.after(pageRetryMs, resolve));
+		}
+	}
+
 	private received(machines: ListedMachine[]): void {
 		const now = this.time.now();
+		const tookMs = now - this.readingSince;
 		this.reading = false;
 		this.looked = true;
-		this.nextRead = now + Math.max(leastPauseMs, this.lagMs);
+		this.nextRead = now + Math.max(leastPauseMs, this.lagMs, tookMs / readTimePart);
 		this.names = new Set(machines.map((machine) => machine.id));
 		for (const listed of machines) if (!this.hooks.isGone(listed.id)) this.reconcile(listed, now);
 		this.dropUnlisted(this.names);
--- a/src/coordination/machine-returns.ts
+++ b/src/coordination/machine-returns.ts
@@ -1,5 +1,5 @@
 import type { Machine } from "../bookkeeping/machines.js";
-import type { OperatorSettings } from "../protocol/operator.js";
+import type { BootTimes } from "./boot-times.js";
 import type { ClusterState } from "./cluster-state.js";
 import type { CloudPort, Log, TimePort } from "./ports.js";
 
@@ -11,7 +11,6 @@
 const deafPatienceMs = 5000;
 /** Machines of a zone that is cut off are waited for this many times as long. */
 const zonePatience = 4;
-const leastBootS = 30;
 const retryMs = 700;
 /** The cloud's own bound. */
 const mostPerCall = 100;
@@ -36,12 +35,13 @@
 		private readonly clusterState: ClusterState,
 		private readonly cloud: CloudPort,
 		private readonly time: TimePort,
-		private readonly settings: OperatorSettings["machines"],
+		silentExtraMs: number,
+		private readonly bootTimes: BootTimes,
 		private readonly leaseMs: number,
 		private readonly hooks: MachineReturnHooks,
 		private readonly log: Log,
 	) {
-		this.silentMs = leaseMs + settings.silent_extra_s * 1000;
+		this.silentMs = leaseMs + silentExtraMs;
 	}
 
 	isGone(machine: string): boolean {
@@ -113,8 +113,7 @@
 		// there is worth more when it is heard again than what would have to boot then.
 		const patience = this.cutOff.has(machine.zone) ? zonePatience : 1;
 		if (machine.leaseExpired && now - machine.answeredAt > this.silentMs * patience) return "silent";
-		const bootMs = Math.max(leastBootS, machine.type.bootS) * 1000 * this.settings.boot_times;
-		if (!machine.up && !hidden && now - machine.rentedAt > bootMs) return "never came up";
+		if (!hidden && this.bootTimes.isGivenUp(machine, now)) return "never came up";
 		// Its tasks go on until its lease has run out, unless answers reach it again before.
 		const deafMs = holdsTasks ? this.leaseMs : deafPatienceMs;
 		if (machine.unreachableSince !== null && now - machine.unreachableSince > deafMs)
--- a/src/coordination/order-sender.ts
+++ b/src/coordination/order-sender.ts
@@ -4,15 +4,27 @@
 import type { Log, WorkerPort } from "./ports.js";
 import { stopsFor } from "./reports.js";
 
+interface WaitingOrders {
+	machine: Machine;
+	orders: Order[];
+}
+
 /**
  * Orders that go straight to workers: stops and forgets, which may be carried out late without
- * harm. Starts never go this way.
+ * harm. Starts never go this way. Each takes a connection of its own, and the end of one large job
+ * concerns thousands of machines, so only so many are on their way at a time.
  */
 export class OrderSender {
+	private inFlight = 0;
+	private waiting: WaitingOrders[] = [];
+
 	constructor(
 		private readonly token: number,
+		/** Most orders on their way at a time. */
+		private readonly mostInFlight: number,
 		private readonly workers: WorkerPort,
 		private readonly active: () => boolean,
+		private readonly post: (command: () => void) => void,
 		private readonly log: Log,
 	) {}
 
@@ -29,9 +41,28 @@
 	}
 
 	send(machine: Machine, orders: Order[]): void {
-		if (!this.active() || machine.endpoint === "" || machine.leaseExpired) return;
+		this.waiting.push({ machine, orders });
+		this.sendWaiting();
+	}
+
+	/** Authority is asked for when an order leaves, however long it waited. */
+	private sendWaiting(): void {
+		if (!this.active()) this.waiting = [];
+		while (this.inFlight < this.mostInFlight) {
+			const next = this.waiting.shift();
+			if (!next) return;
+			if (next.machine.endpoint !== "" && !next.machine.leaseExpired) this.call(next);
+		}
+	}
+
+	private call({ machine, orders }: WaitingOrders): void {
+		this.inFlight += 1;
 		this.workers
 			.command(machine.endpoint, this.token, machine.session, orders)
-			.catch((error) => this.log.debug({ machine: machine.id, err: String(error) }, "order not sent"));
+			.catch((error) => this.log.debug({ machine: machine.id, err: String(error) }, "order not sent"))
+			.finally(() => {
+				this.inFlight -= 1;
+				this.post(() => this.sendWaiting());
+			});
 	}
 }
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -10,6 +10,7 @@
 import type { PeerMonitor } from "./peer-monitor.js";
 import { placeFirstFit, sampled } from "./placing.js";
 import type { PeerPort, TimePort } from "./ports.js";
+import { ReservedMachines } from "./reserved-machines.js";
 
 /** A job that its placer does not know is placed by the leader for so long. */
 const placedHereMs = 5000;
@@ -33,6 +34,8 @@
 	cycleMs: number;
 	silentMs: number;
 	sample: number;
+	/** Most remaining seconds that a task is counted for. */
+	capS: number;
 	/** A start was decided; it goes out with the answer to the machine's report. */
 	decided(attempt: Attempt): void;
 }
@@ -44,11 +47,15 @@
 export class PlacementCycle {
 	private readonly clusterState: ClusterState;
 	private readonly outstanding = new Map<string, Outstanding>();
+	private readonly reserved: ReservedMachines;
 	private cycle = 0;
 	private nextAt = 0;
 
 	constructor(private readonly options: PlacementOptions) {
 		this.clusterState = options.clusterState;
+		this.reserved = new ReservedMachines(options.clusterState, options.capS, (machines, most) =>
+			sampled(machines, most, options.random),
+		);
 	}
 
 	/** No placer is being waited for. */
@@ -85,6 +92,8 @@
 
 	private place(now: number): void {
 		this.giveUpSilent(now);
+		for (const attempt of this.reserved.update(now, this.options.time.date().getTime()))
+			this.options.decided(attempt);
 		const views = this.views();
 		if (views.length === 0) return;
 		const shares = this.shares(this.grants(views, now), now);
@@ -109,7 +118,9 @@
 
 	/** Cheap cores fill first, so that dear machines are the ones to run empty and go back. */
 	private views(): ViewMachine[] {
-		const open = [...this.clusterState.machines.values()].filter((m) => m.schedulable && m.freeCpus > 0);
+		const open = [...this.clusterState.machines.values()].filter(
+			(m) => m.schedulable && m.freeCpus > 0 && m.reservedFor === null,
+		);
 		return sampled(open, this.options.sample, this.options.random)
 			.sort((a, b) => pricePerCpu(a) - pricePerCpu(b) || b.freeCpus - a.freeCpus)
 			.map(viewOf);
--- a/src/coordination/preemption.ts
+++ b/src/coordination/preemption.ts
@@ -9,7 +9,9 @@
  * another team runs beyond its own.
  */
 
-const mostPerPass = 8;
+/** Tasks of one job that a pass makes room for, at least, and with a large fleet for each open machine. */
+const leastPerPass = 8;
+const perMachineAndPass = 0.01;
 const slack = 1e-6;
 /** Nothing is stopped for tasks that places freed in this time will hold. */
 const turnoverS = 1;
@@ -40,7 +42,8 @@
 	return lost * spec.cpus;
 }
 
-function stoppable(attempt: Attempt): boolean {
+function stoppable(attempt: Attempt, now: number): boolean {
+	if (attempt.keptUntil !== undefined && now < attempt.keptUntil) return false;
 	// A replica that was stopped would only be started elsewhere.
 	return (
 		attempt.stop === null &&
@@ -204,7 +207,7 @@
 		let list = this.cheapest.get(machine);
 		if (!list) {
 			list = [...machine.attempts.values()]
-				.filter((a) => stoppable(a) && cheapToStop(a, this.now))
+				.filter((a) => stoppable(a, this.now) && cheapToStop(a, this.now))
 				.sort((a, b) => costOfStopping(a, this.now) - costOfStopping(b, this.now));
 			this.cheapest.set(machine, list);
 		}
@@ -248,7 +251,8 @@
 			own = [];
 			for (const other of this.clusterState.jobs.values()) {
 				if (other.spec.team !== job.spec.team || other.rank <= job.rank) continue;
-				for (const a of other.attempts.values()) if (stoppable(a) && cheapToStop(a, this.now)) own.push(a);
+				for (const a of other.attempts.values())
+					if (stoppable(a, this.now) && cheapToStop(a, this.now)) own.push(a);
 			}
 			own.sort((a, b) => costOfStopping(b, this.now) - costOfStopping(a, this.now));
 			this.own.set(key, own);
@@ -273,7 +277,7 @@
 }
 
 function takesWork(machine: Machine): boolean {
-	return machine.schedulable && !machine.onProbation;
+	return machine.schedulable && !machine.onProbation && machine.reservedFor === null;
 }
 
 function enough(room: Amount): boolean {
@@ -287,6 +291,7 @@
 	sample: (machines: Machine[], most: number) => Machine[] = (machines) => machines,
 ): Attempt[] {
 	const pass = new Pass(clusterState, now, (machines) => sample(machines, planSample));
+	const mostPerPass = Math.max(leastPerPass, Math.ceil(clusterState.machines.size * perMachineAndPass));
 	const soonFree = placesSoonFree(clusterState);
 	for (const job of waiting) {
 		if (pass.victims.size >= mostPerPass * 3) break;
--- a/src/coordination/rentals.ts
+++ b/src/coordination/rentals.ts
@@ -179,7 +179,9 @@
 
 	private expect(id: string, { type, request: { zone, spot } }: Rental, now: number): void {
 		if (this.clusterState.machines.has(id) || this.hooks.isGone(id)) return;
-		this.clusterState.machines.set(id, new Machine(id, type, zone, spot, now));
+		const machine = new Machine(id, type, zone, spot, now);
+		machine.rentedHere = true;
+		this.clusterState.machines.set(id, machine);
 	}
 }
 
--- a/src/coordination/replica-relocation.ts
+++ b/src/coordination/replica-relocation.ts
@@ -60,7 +60,13 @@
 		let best: Machine | null = null;
 		let bestWorth = -1;
 		for (const machine of this.clusterState.machines.values()) {
-			if (!machine.schedulable || machine.onProbation || !machineAllowed(spec, machine)) continue;
+			if (
+				!machine.schedulable ||
+				machine.onProbation ||
+				machine.reservedFor !== null ||
+				!machineAllowed(spec, machine)
+			)
+				continue;
 			if (!machine.hasRoomFor(spec) || zoneRoom(spec, zones, machine.zone) < 1) continue;
 			const worth = (beside.has(machine) ? 0 : 2) + (machine.images.has(spec.image) ? 1 : 0);
 			if (worth <= bestWorth) continue;
--- a/src/coordination/reports.ts
+++ b/src/coordination/reports.ts
@@ -20,6 +20,8 @@
 			/** Replicas that are reported running for the first time. */
 			begun: Attempt[];
 			isNew: boolean;
+			/** It is its first report to this leader. */
+			cameUp: boolean;
 	  }
 	/** Older than the newest seen: changes nothing. */
 	| { kind: "old" }
@@ -41,6 +43,7 @@
 	const newSession = machine.session !== 0 && report.session > machine.session;
 	// Its lease ran out although it was answered lately. Once, the answer may just have come too late.
 	const ranOut = newSession && now - machine.answeredAt < clusterState.certainMs / 2;
+	const cameUp = !machine.up;
 	update(clusterState, machine, report, now);
 	const listing = applyListed(clusterState, machine, report.tasks, now);
 	const startUnseen = !newSession && hasUnlistedStart(machine, listing.listed);
@@ -52,7 +55,8 @@
 	);
 	const vanished = applyAbsent(clusterState, machine, listing.listed, newSession);
 	const { outcomes, progressed, begun } = listing;
-	return { kind: "applied", machine, outcomes, progressed, vanished, begun, isNew: known === undefined };
+	const isNew = known === undefined;
+	return { kind: "applied", machine, outcomes, progressed, vanished, begun, isNew, cameUp };
 }
 
 /** null: of its type nothing is known. */
@@ -91,6 +95,7 @@
 	machine.endpoint = report.endpoint;
 	machine.reportedAt = now;
 	machine.up = true;
+	machine.overdue = false;
 	machine.leaseExpired = false;
 	machine.takenAt = report.noticeS === null ? null : now + report.noticeS * 1000;
 	if (report.token !== clusterState.term || machine.confirmed) return;
--- /dev/null
+++ b/src/coordination/reserved-machines.ts
@@ -0,0 +1,142 @@
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import type { Machine } from "../bookkeeping/machines.js";
+import type { ClusterState } from "./cluster-state.js";
+import { couldHold, remainingOfAttempt } from "./load.js";
+
+/** A job of which nothing has begun for this long may have a machine reserved. */
+const waitsForRoomS = 60;
+/** Most machines that are reserved at a time, as a part of those that are open. */
+const mostReservedPart = 0.05;
+/** Machines looked through for the one that has room soonest. */
+const machinesSampled = 100;
+const everyMs = 1000;
+/** What was waited for so long is not stopped at once for work of more right. */
+const keptMs = 60_000;
+
+interface Prospect {
+	machine: Machine;
+	/** Seconds until the machine has room, going by estimates. */
+	seconds: number;
+	/** Tasks that have to end for that. */
+	ends: number;
+}
+
+/**
+ * Wide tasks never start beside small ones: whatever comes free is taken by the next small task. Once
+ * a job has waited for long, a machine is kept free of new work until one of its tasks fits there.
+ * Only what has nowhere to start at all is served, one task for each job: the rest of it follows in
+ * the order of service.
+ */
+export class ReservedMachines {
+	private nextLookAt = 0;
+	private readonly machineOf = new Map<Job, Machine>();
+
+	constructor(
+		private readonly clusterState: ClusterState,
+		private readonly capS: number,
+		private readonly sample: (machines: Machine[], most: number) => Machine[],
+	) {}
+
+	/** Starts what has room by now and reserves machines for what waits. Called before each placement. */
+	update(now: number, date: number): Attempt[] {
+		const started = this.startReserved(now);
+		if (now >= this.nextLookAt) {
+			this.nextLookAt = now + everyMs;
+			this.reserveFor(this.waitingForRoom(now, date), now);
+		}
+		return started;
+	}
+
+	private startReserved(now: number): Attempt[] {
+		const started: Attempt[] = [];
+		for (const [job, machine] of this.machineOf) {
+			const attempt = this.clusterState.decide(job, machine);
+			if (attempt) {
+				attempt.keptUntil = now + keptMs;
+				job.hadReservation = true;
+				started.push(attempt);
+			}
+			const needed = attempt === null && stillWaits(job) && machine.schedulable && this.holds(machine);
+			if (!needed) this.release(job, machine);
+		}
+		return started;
+	}
+
+	/** The machine is still this leader's. */
+	private holds(machine: Machine): boolean {
+		return this.clusterState.machines.get(machine.id) === machine;
+	}
+
+	private release(job: Job, machine: Machine): void {
+		this.machineOf.delete(job);
+		machine.reservedFor = null;
+		this.clusterState.placementDue = true;
+	}
+
+	/** Oldest first. */
+	private waitingForRoom(now: number, date: number): Job[] {
+		return [...this.clusterState.jobs.values()]
+			.filter(
+				(job) =>
+					stillWaits(job) &&
+					!this.machineOf.has(job) &&
+					date - job.at > waitsForRoomS * 1000 &&
+					this.clusterState.mayRun(job, now),
+			)
+			.sort((a, b) => a.at - b.at);
+	}
+
+	private reserveFor(jobs: Job[], now: number): void {
+		if (jobs.length === 0) return;
+		const open = [...this.clusterState.machines.values()].filter((m) => m.schedulable && !m.onProbation);
+		const most = Math.max(1, Math.floor(open.length * mostReservedPart));
+		for (const job of jobs) {
+			if (this.machineOf.size >= most) return;
+			const best = this.soonest(job, open, now);
+			// Room that one end makes is given out in the order of service.
+			if (!best || best.ends < 2) continue;
+			best.machine.reservedFor = job;
+			this.machineOf.set(job, best.machine);
+		}
+	}
+
+	private soonest(job: Job, open: Machine[], now: number): Prospect | null {
+		const able = open.filter((machine) => machine.reservedFor === null && couldHold(machine, job));
+		let best: Prospect | null = null;
+		for (const machine of this.sample(able, machinesSampled)) {
+			const prospect = this.prospect(machine, job, now);
+			if (prospect && (best === null || prospect.seconds < best.seconds)) best = prospect;
+		}
+		return best;
+	}
+
+	/** null: replicas, which do not end, take too much of it. */
+	private prospect(machine: Machine, { spec }: Job, now: number): Prospect | null {
+		const left = { cpus: machine.freeCpus, gpus: machine.freeGpus, memory: machine.freeMemory };
+		const ending = [...machine.attempts.values()]
+			.filter((attempt) => !attempt.job.standing)
+			.map((attempt) => ({
+				spec: attempt.job.spec,
+				seconds: remainingOfAttempt(attempt, now, this.capS) / attempt.job.spec.cpus,
+			}))
+			.sort((a, b) => a.seconds - b.seconds);
+		let ends = 0;
+		let seconds = 0;
+		while (left.cpus < spec.cpus || left.gpus < spec.gpus || left.memory < spec.memoryGb) {
+			const next = ending[ends];
+			if (!next) return null;
+			ends += 1;
+			seconds = next.seconds;
+			left.cpus += next.spec.cpus;
+			left.gpus += next.spec.gpus;
+			left.memory += next.spec.memoryGb;
+		}
+		return { machine, seconds, ends };
+	}
+}
+
+/** Nothing of the job has begun, and nothing but room is in the way. */
+function stillWaits(job: Job): boolean {
+	if (job.hadReservation || job.standing || job.cancelled || job.ending || job.failsOnSeveral) return false;
+	return job.attempts.size === 0 && job.done.count === 0 && job.waiting.length > 0;
+}
--- a/src/coordination/takeover.ts
+++ b/src/coordination/takeover.ts
@@ -3,8 +3,12 @@
 import type { ClusterState } from "./cluster-state.js";
 import type { Log, WorkerPort } from "./ports.js";
 
-/** Machines asked straight for their tasks in each tick of a takeover: all at once would topple a small share of a core. */
-const probesPerTick = 12;
+/**
+ * Machines asked straight for their tasks in each tick of a takeover, at least, and with a large
+ * fleet as part of it: all at once would topple a small share of a core.
+ */
+const leastProbesPerTick = 12;
+const probedPartPerTick = 0.01;
 const probesWhenLate = 2;
 const probeTries = 3;
 /** A machine not heard for this long after a takeover is given back. */
@@ -77,7 +81,8 @@
 	 */
 	sendProbes(late: boolean): void {
 		// Most workers come by themselves; whoever is late in that is asked all the same.
-		let left = late ? probesWhenLate : probesPerTick;
+		const perTick = Math.max(leastProbesPerTick, this.clusterState.machines.size * probedPartPerTick);
+		let left = late ? probesWhenLate : perTick;
 		while (left > 0) {
 			const next = this.probes.shift();
 			if (!next) return;
--- a/src/transport/public-api.ts
+++ b/src/transport/public-api.ts
@@ -11,6 +11,8 @@
 import { elsewhereBody, ordersBody, parseReport } from "../protocol/worker-api.js";
 
 const maxBody = 64 * 1024;
+/** With more of its connections in use, those of workers are closed between reports. */
+const crowdedPart = 0.6;
 const bodyTooLarge = `the body is larger than ${maxBody} bytes`;
 
 /** What the front needs of the service behind it. */
@@ -126,7 +128,12 @@
  * Reports are most of what a leader hears: hundreds a second for a small share of a
  * core. They pass by the routes and objects that users' requests go through.
  */
-export function reportListener(service: Pick<PublicService, "report">, log: Log) {
+export function reportListener(
+	service: Pick<PublicService, "report">,
+	log: Log,
+	/** Sockets are short: a worker is asked to open its connection anew for each report. */
+	crowded: () => boolean = () => false,
+) {
 	return (request: IncomingMessage, response: ServerResponse): void => {
 		const answer = (status: number, body: object, headers?: Record<string, string>) => {
 			if (response.headersSent || response.destroyed) return;
@@ -134,6 +141,7 @@
 			response.writeHead(status, {
 				"content-type": "application/json",
 				"content-length": Buffer.byteLength(text),
+				...(crowded() && { connection: "close" }),
 				...headers,
 			});
 			response.end(text);
@@ -180,12 +188,19 @@
 	log: Log,
 ): Promise<PublicServer> {
 	const others = getRequestListener(publicApi(service, log).fetch);
-	const reports = reportListener(service, log);
+	let connections = 0;
+	const reports = reportListener(service, log, () => connections > maxConnections * crowdedPart);
 	const server = createServer((request, response) => {
 		const isReport = request.url === paths.report || request.url?.startsWith(`${paths.report}?`);
 		if (request.method === "POST" && isReport) reports(request, response);
 		else void others(request, response);
 	});
+	server.on("connection", (socket) => {
+		connections += 1;
+		socket.once("close", () => {
+			connections -= 1;
+		});
+	});
 	// Idle and half-open connections must not use up the sockets.
 	server.keepAliveTimeout = 65_000;
 	server.headersTimeout = 10_000;
