--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -159,6 +159,7 @@
 			peers: ports.peers,
 			time,
 			random: ports.random,
+			log,
 			cycleMs: settings.placing.cycle_s * 1000,
 			silentMs: settings.placing.silent_s * 1000,
 			sample: settings.placing.sample,
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -9,7 +9,7 @@
 import { placerOf } from "./partitioning.js";
 import type { PeerMonitor } from "./peer-monitor.js";
 import { placeFirstFit, sampled } from "./placing.js";
-import type { PeerPort, TimePort } from "./ports.js";
+import type { Log, PeerPort, TimePort } from "./ports.js";
 import { ReservedMachines } from "./reserved-machines.js";
 
 /** A job that its placer does not know is placed by the leader for so long. */
@@ -30,6 +30,7 @@
 	peers: PeerPort;
 	time: TimePort;
 	random: RandomGenerator;
+	log: Log;
 	/** Least time between cycles, silence after which a placer is given up, machines in a view. */
 	cycleMs: number;
 	silentMs: number;
@@ -53,8 +54,11 @@
 
 	constructor(private readonly options: PlacementOptions) {
 		this.clusterState = options.clusterState;
-		this.reserved = new ReservedMachines(options.clusterState, options.capS, (machines, most) =>
-			sampled(machines, most, options.random),
+		this.reserved = new ReservedMachines(
+			options.clusterState,
+			options.capS,
+			(machines, most) => sampled(machines, most, options.random),
+			options.log,
 		);
 	}
 
--- a/src/coordination/reserved-machines.ts
+++ b/src/coordination/reserved-machines.ts
@@ -2,6 +2,7 @@
 import type { Machine } from "../bookkeeping/machines.js";
 import type { ClusterState } from "./cluster-state.js";
 import { couldHold, remainingOfAttempt } from "./load.js";
+import type { Log } from "./ports.js";
 
 /** A job of which nothing has begun for this long may have a machine reserved. */
 const waitsForRoomS = 60;
@@ -35,6 +36,7 @@
 		private readonly clusterState: ClusterState,
 		private readonly capS: number,
 		private readonly sample: (machines: Machine[], most: number) => Machine[],
+		private readonly log: Log,
 	) {}
 
 	/** Starts what has room by now and reserves machines for what waits. Called before each placement. */
@@ -55,6 +57,7 @@
 				attempt.keptUntil = now + keptMs;
 				job.hadReservation = true;
 				started.push(attempt);
+				this.log.info({ job: job.id, machine: machine.id }, "start decided on the reserved machine");
 			}
 			const needed = attempt === null && stillWaits(job) && machine.schedulable && this.holds(machine);
 			if (!needed) this.release(job, machine);
@@ -97,6 +100,8 @@
 			if (!best || best.ends < 2) continue;
 			best.machine.reservedFor = job;
 			this.machineOf.set(job, best.machine);
+			const inS = Math.round(best.seconds);
+			this.log.info({ job: job.id, machine: best.machine.id, inS }, "machine reserved");
 		}
 	}
 
