--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,37 +1,28 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import { keys, type TypesRecord } from "../bookkeeping/records.js";
+import { keys } from "../bookkeeping/records.js";
 import { StoreCopy } from "../bookkeeping/store-copy.js";
-import { MalformedMessageError } from "../protocol/checks.js";
-import type { MachineType, Order, WorkerReport } from "../protocol/model.js";
+import type { Order, WorkerReport } from "../protocol/model.js";
 import type { OperatorSettings } from "../protocol/operator.js";
 import { unpackReport } from "../protocol/packed-report.js";
-import {
-	claimedKind,
-	type ForwardedReports,
-	type HeartbeatReply,
-	type LeaderHeartbeat,
-	type PeerMessage,
-	type PlacementProposal,
-	type PlacementRequest,
-	parsePeerMessage,
+import type {
+	ForwardedReports,
+	HeartbeatReply,
+	LeaderHeartbeat,
+	PeerMessage,
+	PlacementProposal,
+	PlacementRequest,
 } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import { CommandQueue } from "./command-queue.js";
 import { JobService } from "./job-service.js";
 import { Leader, tickMs } from "./leader.js";
 import { Leadership } from "./leadership.js";
+import { MachineTypeCatalog } from "./machine-type-catalog.js";
+import { PeerMessageReader } from "./peer-message-reader.js";
 import { redirectedMs } from "./peer-monitor.js";
 import { placeFirstFit } from "./placing.js";
-import {
-	CallFailed,
-	type CloudPort,
-	type Log,
-	type PeerPort,
-	type StorePort,
-	type TimePort,
-	type WorkerPort,
-} from "./ports.js";
+import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
 import { AnswerBatches, Relay } from "./relay.js";
 import { StallDetector } from "./stall-detector.js";
 import { StoreSync } from "./store-sync.js";
@@ -51,13 +42,10 @@
 	| { kind: "orders"; token: number; orders: Order[] }
 	| { kind: "elsewhere"; node: string | null };
 
-const typesEveryMs = 60_000;
 /** Others unheard for this long are taken to be out of reach. */
 const isolatedMs = 3000;
 const leaderSilentMs = 1200;
 const unexpectedTellMs = 100;
-/** More senders and kinds of malformed messages than this are not told apart. */
-const malformedKept = 200;
 
 /** One controller: the owner of its process's state. */
 export class Controller {
@@ -69,9 +57,6 @@
 	private leader: Leader | null = null;
 	private starting: number | null = null;
 	private stopped = false;
-	private nextTypes = 0;
-	private fetchingTypes = false;
-	private prices: MachineType[] | null = null;
 	private running = new Map<string, number>();
 	/** Steady time of the last word of any other controller, and of the last that the store answers it. */
 	private peerHeardAt = -Infinity;
@@ -82,8 +67,8 @@
 	private readonly relay: Relay;
 	private readonly answers: AnswerBatches;
 	private unexpectedToldAt = -Infinity;
-	/** Senders and kinds of messages that could not be read. */
-	private readonly malformedFrom = new Set<string>();
+	private readonly reader: PeerMessageReader;
+	private readonly machineTypes: MachineTypeCatalog;
 
 	constructor(
 		private readonly platform: PlatformSettings,
@@ -149,6 +134,17 @@
 			(command) => this.commands.ask(command),
 			(id) => (this.leader ? this.leader.runningCount(id) : (this.running.get(id) ?? 0)),
 		);
+		this.reader = new PeerMessageReader(log);
+		this.machineTypes = new MachineTypeCatalog({
+			cloud: ports.cloud,
+			store,
+			time,
+			log,
+			post,
+			authority: () => this.leadership.authority(),
+			stored: () => this.storeCopy.types?.value ?? null,
+			refreshed: (types) => this.leader?.typesRefreshed(types),
+		});
 		this.storeCopy.onChange((key) => this.changed(key));
 		const stalls = new StallDetector(time);
 		this.commands.onBatchStart(() => {
@@ -207,7 +203,7 @@
 		// Machine types are the first thing a first leader writes.
 		if (this.storeCopy.loaded && this.storeCopy.types === null) this.leadership.releaseStartHold();
 		this.leadership.tick(this.storeCopy.leader, this.storeCopy.loaded);
-		if (this.leadership.authority() !== null) this.refreshTypes();
+		if (this.leadership.authority() !== null) this.machineTypes.tick();
 		this.leader?.tick();
 		this.relay.tick();
 	}
@@ -223,7 +219,7 @@
 	/** The term begins once the local copy holds everything from before the takeover. */
 	private beginTerm(term: number): void {
 		if (this.starting !== term || this.leadership.currentTerm !== term) return;
-		const types = this.prices ?? this.storeCopy.types?.value ?? null;
+		const { types } = this.machineTypes;
 		if (types === null) {
 			this.ports.time.after(50, () => this.commands.post(() => this.beginTerm(term)));
 			return;
@@ -260,48 +256,6 @@
 		this.leader = null;
 	}
 
-	// --- machine types ---
-
-	private refreshTypes(): void {
-		const now = this.ports.time.now();
-		if (this.fetchingTypes || now < this.nextTypes) return;
-		this.fetchingTypes = true;
-		this.ports.cloud.machineTypes().then(
-			(types) =>
-				this.commands.post(() => {
-					this.fetchingTypes = false;
-					if (types.length === 0) return;
-					this.nextTypes = this.ports.time.now() + typesEveryMs;
-					this.prices = types;
-					if (this.leader) for (const type of types) this.leader.clusterState.types.set(type.name, type);
-					this.keepTypes(types);
-				}),
-			(error) =>
-				this.commands.post(() => {
-					this.fetchingTypes = false;
-					this.nextTypes = this.ports.time.now() + 700;
-					this.ports.log.debug({ err: String(error) }, "machine types not read");
-				}),
-		);
-	}
-
-	/** Kept in the store, so that a starting node can check submissions without the cloud. */
-	private keepTypes(types: MachineType[]): void {
-		const term = this.leadership.authority();
-		if (term === null || sameTypes(this.storeCopy.types?.value ?? [], types)) return;
-		const value: TypesRecord = { types };
-		this.ports.store
-			.transact([{ key: keys.leader, revision: term }], [{ put: keys.types, value }], "first")
-			.catch((error) =>
-				this.commands.post(() => {
-					// Too many types for one value: they are read from the cloud then, by each leader.
-					if (error instanceof CallFailed && error.kind === "rejected")
-						this.ports.log.error({ key: keys.types, err: error.message }, "not written");
-					else this.nextTypes = 0;
-				}),
-			);
-	}
-
 	// --- what comes in ---
 
 	private changed(key: string): void {
@@ -391,23 +345,8 @@
 		return hearing && node === leader && this.ports.time.now() - at <= leaderSilentMs ? leader : null;
 	}
 
-	/** null: it can't be used. That is said once for each sender and kind: such messages come in numbers. */
-	private parsed(from: string, raw: unknown): PeerMessage | null {
-		try {
-			return parsePeerMessage(raw);
-		} catch (error) {
-			if (!(error instanceof MalformedMessageError)) throw error;
-			const kind = claimedKind(raw);
-			const source = `${from}/${kind}`;
-			if (this.malformedFrom.has(source)) return null;
-			if (this.malformedFrom.size < malformedKept) this.malformedFrom.add(source);
-			this.ports.log.error({ from, kind, err: error.message }, "malformed message from a controller");
-			return null;
-		}
-	}
-
 	peerMessage(from: string, raw: unknown): void {
-		const message = this.parsed(from, raw);
+		const message = this.reader.read(from, raw);
 		if (message) this.commands.post(() => this.handle(from, message));
 	}
 
@@ -477,10 +416,3 @@
 	const { cancel_s, lease_s } = platform.cluster.workers;
 	return Math.max(0, (cancel_s - lease_s * 1.01) * 1000 - cancelMarginMs);
 }
-
-/** Prices of spot machines move all the time; only what submissions depend on is compared. */
-function sameTypes(a: MachineType[], b: MachineType[]): boolean {
-	const summary = (types: MachineType[]) =>
-		JSON.stringify(types.map((t) => [t.name, t.cpus, t.gpus, t.memoryGb, t.bootS, t.zones]));
-	return summary(a) === summary(b);
-}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -14,6 +14,7 @@
 import { HeldReports } from "./held-reports.js";
 import { JobCompletion } from "./job-completion.js";
 import { drift } from "./leadership.js";
+import { MachineWatch } from "./machine-watch.js";
 import { OrderSender } from "./order-sender.js";
 import { PeerMonitor } from "./peer-monitor.js";
 import { PlacementCycle } from "./placement-cycle.js";
@@ -25,6 +26,7 @@
 import { stopBeforeTaken } from "./spot-notice.js";
 import { Takeover } from "./takeover.js";
 import { TaskOutcomes } from "./task-outcomes.js";
+import { TickLateness } from "./tick-lateness.js";
 import { UnwantedTasks } from "./unwanted-tasks.js";
 
 export interface LeaderPorts {
@@ -69,10 +71,6 @@
 const idleHoldPart = 0.6;
 /** A machine that reported within this part of an interval is worth being asked for its next report. */
 const reportedLatelyPart = 0.6;
-/** With ticks later than this on the average, the process is short of processor time. */
-const busyMs = 40;
-/** Weight of the latest tick in that average. */
-const latenessWeight = 0.2;
 /** Of the sockets that the process may have, so many are for orders that go straight to workers. */
 const orderSocketsPart = 0.1;
 const leastOrdersInFlight = 8;
@@ -100,6 +98,8 @@
 	private readonly placement: PlacementCycle;
 	private readonly peerMonitor: PeerMonitor;
 	private readonly takeover: Takeover;
+	private readonly lateness: TickLateness;
+	private readonly watch: MachineWatch;
 	private readonly machineRecords: SharedRecords<MachineRecord>;
 	private readonly featureRecord: FeatureRecord;
 	/** Machines with starts decided and not yet sent. */
@@ -108,9 +108,6 @@
 	private ended = false;
 	/** Whether a task waits that may start, as found out in this batch; null: not looked yet. */
 	private waitingNow: boolean | null = null;
-	private lateMs = 0;
-	private lastTick: number;
-	private rebuiltSaid = false;
 	private nextAudit = 0;
 
 	constructor(private readonly options: LeaderOptions) {
@@ -121,7 +118,7 @@
 		this.storeCopy = options.storeCopy;
 		this.ports = ports;
 		this.beganAt = ports.time.now();
-		this.lastTick = this.beganAt;
+		this.lateness = new TickLateness(tickMs, this.beganAt);
 		const leaseMs = cluster.workers.lease_s * 1000;
 		const certainMs = leaseMs * (1 + 2 * drift) + expiryMarginMs;
 		const types = new Map(options.types.map((type) => [type.name, type]));
@@ -132,6 +129,7 @@
 		const { time, log, post } = ports;
 		const active = () => this.active;
 		const ordersInFlight = Math.max(leastOrdersInFlight, cluster.resources.fd_limit * orderSocketsPart);
+		this.watch = new MachineWatch(clusterState, this.beganAt, log);
 		this.orders = new OrderSender(term, Math.floor(ordersInFlight), ports.workers, active, post, log);
 		this.held = new HeldReports(time, post, (machine) => this.answerById(machine));
 		this.outcomes = new TaskOutcomes(clusterState, settings.machines.faulty_after, log);
@@ -324,6 +322,11 @@
 		return this.held.hold(machine.id, now + holdMs, idle);
 	}
 
+	/** Prices move, and types may come and go. */
+	typesRefreshed(types: MachineType[]): void {
+		for (const type of types) this.clusterState.types.set(type.name, type);
+	}
+
 	/** Who receives the machine's reports: another controller, or null for this one. */
 	relayFor(id: string): string | null {
 		return this.peerMonitor.relayFor(id, this.ports.time.now());
@@ -435,8 +438,7 @@
 	/** The process stood still; see `Controller.stalled`. */
 	stalled(stalledMs: number): void {
 		const now = this.ports.time.now();
-		// Nothing was late but this process as a whole, and it is no longer.
-		this.lastTick = now;
+		this.lateness.resume(now);
 		this.held.refuseAll();
 		this.takeover.stalled(stalledMs);
 		this.placement.stalled();
@@ -445,10 +447,9 @@
 	tick(): void {
 		if (!this.active) return;
 		const now = this.ports.time.now();
-		this.lateMs += latenessWeight * (now - this.lastTick - tickMs - this.lateMs);
-		this.lastTick = now;
-		this.takeover.tick(now, this.lateMs > busyMs);
-		this.sweep(now);
+		this.lateness.observe(now);
+		this.takeover.tick(now, this.lateness.busy);
+		this.watch.tick(now, this.lateness.busy);
 		this.fleet.tick();
 		this.machineRecords.flush();
 		this.completion.tick(now);
@@ -461,37 +462,6 @@
 		if (this.clusterState.exhausted) this.options.resign("attempt numbers used up");
 	}
 
-	private sweep(now: number): void {
-		this.sayRebuilt(now);
-		const deaf: Machine[] = [];
-		for (const machine of this.clusterState.machines.values()) {
-			if (machine.unreachableSince !== null && !machine.returning) deaf.push(machine);
-			if (machine.quarantined || machine.onProbation) machine.endProbation(now);
-			this.expireIfSilent(machine, now);
-		}
-		// Where many seem not to hear while the processor is short, it is our answers that come too late.
-		if (this.lateMs <= busyMs || deaf.length <= Math.max(2, this.clusterState.machines.size / 5)) return;
-		this.ports.log.info({ machines: deaf.length }, "answers reach few machines: taken as our own delay");
-		for (const machine of deaf) {
-			machine.unreachableSince = null;
-			machine.ineffectiveAnswers = 0;
-		}
-	}
-
-	private sayRebuilt(now: number): void {
-		if (this.rebuiltSaid || !this.clusterState.rebuilt) return;
-		this.rebuiltSaid = true;
-		const afterMs = Math.round(now - this.beganAt);
-		this.ports.log.info({ term: this.term, afterMs }, "rebuilt: starting tasks");
-	}
-
-	private expireIfSilent(machine: Machine, now: number): void {
-		if (machine.leaseExpired || !(machine.up || this.clusterState.awaited.has(machine))) return;
-		if (now - machine.answeredAt <= this.clusterState.certainMs) return;
-		const tasks = this.clusterState.expire(machine);
-		this.ports.log.info({ machine: machine.id, tasks }, "machine silent: its lease has expired");
-	}
-
 	/** Tasks running by job, for users to see at any node. */
 	private runningCounts(): [string, number][] {
 		const counts: [string, number][] = [];
@@ -548,7 +518,7 @@
 				continue;
 			}
 			const { reminder: handle } = machine;
-			if (handle === null || this.lateMs > busyMs || now - machine.reportedAt > latelyMs) continue;
+			if (handle === null || this.lateness.busy || now - machine.reportedAt > latelyMs) continue;
 			machine.reminder = null;
 			const { job, index, attempt } = handle;
 			this.orders.send(machine, [{ op: "forget", job, index, attempt }]);
--- /dev/null
+++ b/src/coordination/machine-type-catalog.ts
@@ -0,0 +1,87 @@
+import { keys, type TypesRecord } from "../bookkeeping/records.js";
+import type { MachineType } from "../protocol/model.js";
+import { CallFailed, type CloudPort, type Log, type StorePort, type TimePort } from "./ports.js";
+
+const refreshEveryMs = 60_000;
+const retryMs = 700;
+
+export interface MachineTypeCatalogOptions {
+	cloud: CloudPort;
+	store: StorePort;
+	time: TimePort;
+	log: Log;
+	post(command: () => void): void;
+	/** The term while this process may act for the controllers, else null. */
+	authority(): number | null;
+	/** What the state service has. */
+	stored(): MachineType[] | null;
+	/** The cloud has answered. */
+	refreshed(types: MachineType[]): void;
+}
+
+/**
+ * The machine types that the cloud offers. The leader reads them now and then, for their prices, and
+ * keeps them in the store, so that a starting node can check submissions without the cloud.
+ */
+export class MachineTypeCatalog {
+	private latest: MachineType[] | null = null;
+	private reading = false;
+	private nextReadAt = 0;
+
+	constructor(private readonly options: MachineTypeCatalogOptions) {}
+
+	/** null: neither the cloud nor the state service has told any. */
+	get types(): MachineType[] | null {
+		return this.latest ?? this.options.stored();
+	}
+
+	/** Called often, with authority. */
+	tick(): void {
+		const { time, cloud, post } = this.options;
+		if (this.reading || time.now() < this.nextReadAt) return;
+		this.reading = true;
+		cloud.machineTypes().then(
+			(types) => post(() => this.received(types)),
+			(error) => post(() => this.failed(error)),
+		);
+	}
+
+	private received(types: MachineType[]): void {
+		this.reading = false;
+		if (types.length === 0) return;
+		this.nextReadAt = this.options.time.now() + refreshEveryMs;
+		this.latest = types;
+		this.options.refreshed(types);
+		this.store(types);
+	}
+
+	private failed(error: unknown): void {
+		this.reading = false;
+		this.nextReadAt = this.options.time.now() + retryMs;
+		this.options.log.debug({ err: String(error) }, "machine types not read");
+	}
+
+	private store(types: MachineType[]): void {
+		const { store, log, post, authority, stored } = this.options;
+		const term = authority();
+		if (term === null || sameTypes(stored() ?? [], types)) return;
+		const value: TypesRecord = { types };
+		store
+			.transact([{ key: keys.leader, revision: term }], [{ put: keys.types, value }], "first")
+			.catch((error) =>
+				post(() => {
+					// Too many types for one value: they are read from the cloud then, by each leader.
+					if (error instanceof CallFailed && error.kind === "rejected")
+						log.error({ key: keys.types, err: error.message }, "not written");
+					else this.nextReadAt = 0;
+				}),
+			);
+	}
+}
+
+/** Prices of spot machines move all the time; only what submissions depend on is compared. */
+function sameTypes(a: MachineType[], b: MachineType[]): boolean {
+	const summary = (types: MachineType[]) =>
+		JSON.stringify(types.map((t) => [t.name, t.cpus, t.gpus, t.memoryGb, t.bootS, t.zones]));
+	return summary(a) === summary(b);
+}
--- /dev/null
+++ b/src/coordination/machine-watch.ts
@@ -0,0 +1,55 @@
+import type { Machine } from "../bookkeeping/machines.js";
+import type { ClusterState } from "./cluster-state.js";
+import type { Log } from "./ports.js";
+
+/** With more machines than these that answers seem not to reach, the fault is more likely on this side. */
+const fewUnreachable = 2;
+const fewUnreachablePart = 1 / 5;
+
+/** Looks at all machines in each tick: what has expired, what is over, and whom answers do not reach. */
+export class MachineWatch {
+	private rebuiltSaid = false;
+
+	constructor(
+		private readonly clusterState: ClusterState,
+		private readonly beganAt: number,
+		private readonly log: Log,
+	) {}
+
+	/** Called in each tick, with authority. */
+	tick(now: number, busy: boolean): void {
+		this.sayRebuilt(now);
+		const unreachable: Machine[] = [];
+		for (const machine of this.clusterState.machines.values()) {
+			if (machine.unreachableSince !== null && !machine.returning) unreachable.push(machine);
+			if (machine.quarantined || machine.onProbation) machine.endProbation(now);
+			this.expireIfSilent(machine, now);
+		}
+		if (busy) this.excuse(unreachable);
+	}
+
+	/** Where many seem not to hear while the processor is short, it is our answers that come too late. */
+	private excuse(unreachable: Machine[]): void {
+		const few = Math.max(fewUnreachable, this.clusterState.machines.size * fewUnreachablePart);
+		if (unreachable.length <= few) return;
+		this.log.info({ machines: unreachable.length }, "answers reach few machines: taken as our own delay");
+		for (const machine of unreachable) {
+			machine.unreachableSince = null;
+			machine.ineffectiveAnswers = 0;
+		}
+	}
+
+	private sayRebuilt(now: number): void {
+		if (this.rebuiltSaid || !this.clusterState.rebuilt) return;
+		this.rebuiltSaid = true;
+		const afterMs = Math.round(now - this.beganAt);
+		this.log.info({ term: this.clusterState.term, afterMs }, "rebuilt: starting tasks");
+	}
+
+	private expireIfSilent(machine: Machine, now: number): void {
+		if (machine.leaseExpired || !(machine.up || this.clusterState.awaited.has(machine))) return;
+		if (now - machine.answeredAt <= this.clusterState.certainMs) return;
+		const tasks = this.clusterState.expire(machine);
+		this.log.info({ machine: machine.id, tasks }, "machine silent: its lease has expired");
+	}
+}
