--- /dev/null
+++ b/tests/scale.test.ts
@@ -0,0 +1,291 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Machine } from "../src/bookkeeping/machines.js";
+import { StoreCopy } from "../src/bookkeeping/store-copy.js";
+import { ClusterState } from "../src/coordination/cluster-state.js";
+import { MachineList } from "../src/coordination/machine-list.js";
+import { OrderSender } from "../src/coordination/order-sender.js";
+import { PeerMonitor } from "../src/coordination/peer-monitor.js";
+import { PlacementCycle } from "../src/coordination/placement-cycle.js";
+import { CallFailed } from "../src/coordination/ports.js";
+import { machinesToCut, machinesToSpare } from "../src/coordination/scaling.js";
+import { SharedRecords } from "../src/coordination/shared-records.js";
+import { Takeover } from "../src/coordination/takeover.js";
+import type { MachineType } from "../src/protocol/model.js";
+import { defaultOperator } from "../src/protocol/operator.js";
+import type { PlatformSettings } from "../src/protocol/settings.js";
+import { frame } from "../src/transport/peer-link.js";
+import { FakeTime } from "./support/fake-time.js";
+import { specOf } from "./support/specs.js";
+
+/** What the fleets that the operators run, and twice that, ask of each part, by counted work. */
+const sizes = [4000, 8000];
+
+const type: MachineType = {
+	name: "medium",
+	cpus: 8,
+	gpus: 0,
+	memoryGb: 64,
+	cacheGb: 50,
+	fetchGbPerS: 1,
+	price: 0.4,
+	spotPrice: 0.1,
+	bootS: 30,
+	zones: ["a", "b", "c"],
+};
+const silentLog = { error() {}, info() {}, debug() {} };
+/** A message between controllers that waits behind more than this costs the link. */
+const linkBytes = 2 * 1024 * 1024;
+
+function nameOf(i: number): string {
+	return `n-${String(i).padStart(6, "0")}`;
+}
+
+function fleetOf(size: number): ClusterState {
+	const teams = [{ name: "red", cpus: 10 * size, cpus_max: 10 * size, gpus: 0, gpus_max: 0 }];
+	const clusterState = new ClusterState(7, teams, new Map([[type.name, type]]));
+	for (let i = 0; i < size; i++) {
+		const machine = new Machine(nameOf(i), type, type.zones[i % 3] as string, i % 2 === 0, 0);
+		Object.assign(machine, { up: true, confirmed: true, durable: true, endpoint: `${machine.id}:9000` });
+		clusterState.machines.set(machine.id, machine);
+	}
+	return clusterState;
+}
+
+for (const size of sizes) {
+	test(`${size} machines: their records fit into values, and a change writes one of them`, async () => {
+		const mostBytes = 13_000;
+		let writes: { put: string; bytes: number }[][] = [];
+		const time = new FakeTime();
+		const records = new SharedRecords<object>({
+			prefix: "r/machs/",
+			leaderCondition: { key: "r/one/leader", revision: 1 },
+			mostBytes,
+			mostChanges: 12,
+			store: {
+				transact: async (_conditions: unknown, changes: { put?: string; value?: unknown }[]) => {
+					writes.push(
+						changes.map(({ put, value }) => ({
+							put: put ?? "",
+							bytes: JSON.stringify(value ?? null).length,
+						})),
+					);
+					return { ok: true, epoch: writes.length + 1 };
+				},
+			} as never,
+			post: (command) => command(),
+			now: () => time.now(),
+			lostKey: () => assert.fail("the key is ours"),
+			confirmed() {},
+			failed: (error) => assert.fail(String(error)),
+			tooLarge: () => assert.fail("a value is too large"),
+			pace: { rateClass: "normal", everyMs: 150, shrinkMs: 3000 },
+		});
+		const record = (i: number) => ({
+			endpoint: `10.1.0.1:${i}`,
+			type: "medium",
+			zone: "a",
+			spot: true,
+			session: 1,
+		});
+		for (let i = 0; i < size; i++) records.set(nameOf(i), record(i));
+		const run = async (seconds: number) => {
+			for (let t = 0; t < seconds * 1000; t += 50) {
+				records.flush();
+				await time.advance(50);
+			}
+		};
+		await run(20);
+		const values = new Set(writes.flat().map(({ put }) => put));
+		const bytes = size * JSON.stringify({ [nameOf(1)]: record(1) }).length;
+		assert.ok(values.size <= Math.ceil((bytes / mostBytes) * 1.3), `${values.size} values`);
+		for (const { bytes } of writes.flat()) assert.ok(bytes <= 16 * 1024, `a value of ${bytes} bytes`);
+		writes = [];
+		records.set(nameOf(size >> 1), { ...record(0), session: 2 });
+		await run(2);
+		assert.equal(writes.flat().length, 1);
+	});
+
+	test(`${size} machines: the cloud's list is read to its end at a call a second`, async () => {
+		const time = new FakeTime();
+		const clusterState = new ClusterState(1, [], new Map([[type.name, type]]));
+		let calls = 0;
+		let lastCallAt = -Infinity;
+		const list = async (after: string) => {
+			if (time.now() - lastCallAt < 1000) throw new CallFailed("refused", 429, "too many");
+			lastCallAt = time.now();
+			calls += 1;
+			const from = after === "" ? 0 : Number(after.slice(2)) + 1;
+			const count = Math.min(500, size - from);
+			const machines = Array.from({ length: count }, (_, i) => ({
+				id: nameOf(from + i),
+				endpoint: "10.1.0.1:9000",
+				type: type.name,
+				zone: "a",
+				spot: true,
+				status: "running" as const,
+				ageS: 100,
+			}));
+			return { machines, more: from + count < size };
+		};
+		const hooks = { post: (run: () => void) => run(), isGone: () => false };
+		const machineList = new MachineList(clusterState, { list } as never, time, 4000, hooks, silentLog);
+		let t = 0;
+		for (; !machineList.looked && t < 60_000; t += 100) {
+			machineList.tick(time.now());
+			await time.advance(100);
+		}
+		assert.equal(clusterState.machines.size, size);
+		assert.ok(t <= (size / 500) * 1600, `${t} ms`);
+		const before = calls;
+		await time.advance(t);
+		machineList.tick(time.now());
+		assert.equal(calls, before, "most of the rate is left to rentals and returns");
+	});
+
+	test(`${size} machines: a placement cycle asks with messages that links take, and starts the work`, async () => {
+		const time = new FakeTime();
+		const clusterState = fleetOf(size);
+		const settings = defaultOperator();
+		const others = ["b", "c"].map((node) => ({ node, domain: "z", addr: "127.0.0.1:1" }));
+		const platform = { node: "a", others, cluster: { workers: { report_s: 3 }, resources: {} } };
+		let largest = 0;
+		const peers = {
+			send: (_node: string, message: unknown) => {
+				largest = Math.max(largest, frame(message).length);
+			},
+		};
+		const peerMonitor = new PeerMonitor({
+			term: 7,
+			beganAt: 0,
+			platform: platform as unknown as PlatformSettings,
+			settings,
+			clusterState,
+			peers,
+			served: () => true,
+			resign: () => assert.fail("resigned"),
+			log: silentLog,
+		});
+		peerMonitor.heard("b", 0);
+		peerMonitor.heard("c", 0);
+		let started = 0;
+		const cycle = new PlacementCycle({
+			self: "a",
+			clusterState,
+			peerMonitor,
+			peers,
+			time,
+			random: xoroshiro128plus(1),
+			log: silentLog,
+			cycleMs: 200,
+			silentMs: 1000,
+			sample: settings.placing.sample,
+			capS: 600,
+			decided: () => {
+				started += 1;
+			},
+		});
+		for (let i = 0; i < size; i++) {
+			const id = `j-${i}`;
+			clusterState.addJob(id, specOf(id, { tasks: 4, image: `image-${i % 40}` }), 0, 1).fillWaiting();
+		}
+		for (let t = 0; t < 20_000 && started < size; t += 200) {
+			clusterState.placementDue = true;
+			cycle.run(time.now());
+			await time.advance(200);
+		}
+		assert.ok(started >= size, `${started} tasks started`);
+		assert.ok(largest < linkBytes / 4, `a message of ${largest} bytes`);
+	});
+
+	test(`${size} machines: one decision of the hill climb grows and shrinks by need`, () => {
+		const cpus = size * type.cpus;
+		assert.equal(machinesToCut(cpus * 12, size, cpus, type.cpus, 10, 50), 50, "one call's worth at a time");
+		const leaving = Array.from({ length: size }, () => type.cpus);
+		assert.equal(machinesToSpare(cpus, size, cpus, leaving, 10), size / 8);
+	});
+
+	test(`${size} machines: a new leader asks all of them within seconds`, async () => {
+		const time = new FakeTime();
+		const clusterState = fleetOf(size);
+		const asked = new Set<string>();
+		const workers = {
+			command: (endpoint: string) => {
+				asked.add(endpoint);
+				return new Promise<never>(() => {});
+			},
+		};
+		const hooks = {
+			post: (run: () => void) => run(),
+			active: () => true,
+			ended: () => false,
+			apply() {},
+			unlisted: () => false,
+		};
+		const takeover = new Takeover(clusterState, workers, 0, hooks, silentLog);
+		for (const machine of clusterState.machines.values()) takeover.hide(machine, 1);
+		for (let t = 0; t < 12_000; t += 100) {
+			takeover.tick(time.now(), false);
+			await time.advance(100);
+		}
+		assert.equal(asked.size, size);
+		assert.equal(
+			[...clusterState.machines.values()].filter((m) => m.returning).length,
+			0,
+			"all silent: our fault",
+		);
+	});
+
+	test(`${size} machines: the end of a job that runs on all of them takes only so many sockets`, async () => {
+		const time = new FakeTime();
+		const clusterState = fleetOf(size);
+		const job = clusterState.addJob("j-1", specOf("j-1", { tasks: size, cpus: 8 }), 0, 1);
+		job.fillWaiting();
+		for (const machine of clusterState.machines.values()) {
+			const attempt = clusterState.decide(job, machine);
+			assert.ok(attempt);
+			attempt.phase = "running";
+		}
+		let inFlight = 0;
+		let most = 0;
+		const told = new Set<string>();
+		const command = async (endpoint: string) => {
+			inFlight += 1;
+			most = Math.max(most, inFlight);
+			told.add(endpoint);
+			await new Promise<void>((resolve) => time.after(5, resolve));
+			inFlight -= 1;
+			return {} as never;
+		};
+		const orders = new OrderSender(
+			7,
+			100,
+			{ command },
+			() => true,
+			(run) => run(),
+			silentLog,
+		);
+		orders.stop(clusterState.endJob(job));
+		await time.advance((size / 100) * 10);
+		assert.equal(told.size, size);
+		assert.equal(most, 100);
+	});
+}
+
+test("ends of jobs are kept by the store's rate, and a promise of all of them is a message that links take", () => {
+	const changesPerS = 400;
+	const copy = new StoreCopy(() => assert.fail("malformed"), changesPerS);
+	copy.reset([], 1);
+	const ends = (changesPerS / 2) * 300;
+	for (let i = 0; i < ends; i++) {
+		const value = { status: "cancelled", tasks: 1, done: 0, demand: { team: "red", cpus: 1, gpus: 0 } };
+		copy.apply([{ key: `r/fin/j-${String(i).padStart(6, "0")}`, value, revision: i + 2 }], i + 2);
+	}
+	assert.equal(copy.cancelledSince(1)?.length, ends, "five minutes of nothing but cancellations");
+	// A leader asks from what it knows, which is seconds old.
+	const named = copy.cancelledSince(ends + 1 - (changesPerS / 2) * 30) ?? [];
+	const cancelled = named.map(({ id, record, revision }) => [id, revision, record.tasks, record.done]);
+	assert.equal(cancelled.length, (changesPerS / 2) * 30);
+	assert.ok(frame({ kind: "promise", epoch: 1, number: 1, cancelled }).length < linkBytes / 4);
+});
