--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -255,6 +255,36 @@
 	assert.equal(c.leadership.authority(), epoch, "its lease had its full time again after the outage");
 });
 
+test("a leader that stood still within its lease acts only on an answer asked for since", async () => {
+	const c = candidate(["a", "b"]);
+	c.leadership.releaseStartHold();
+	await c.run(500);
+	const epoch = c.won[0] as number;
+	await c.time.advance(2100);
+	assert.equal(c.leadership.authority(), epoch, "by its clock nobody else can lead yet");
+	c.leadership.stalled();
+	assert.equal(c.leadership.authority(), null);
+	await c.run(200);
+	assert.equal(c.leadership.authority(), epoch, "the renewal was answered");
+
+	// Refused by the store, it needs a promise of every other controller that was asked for since.
+	c.service.setOutage(true);
+	const promise = (from: string, number: number) =>
+		c.leadership.message(from, { kind: "promise", epoch, number, cancelled: [] });
+	const asked = () => Math.max(0, ...c.told.map((m) => (m.kind === "ask" ? m.number : 0)));
+	await c.run(1200);
+	const before = asked();
+	for (const node of ["a", "b"]) promise(node, before);
+	c.leadership.stalled();
+	assert.equal(c.leadership.authority(), null, "promises of before the pause");
+	await c.run(200);
+	assert.ok(asked() > before);
+	promise("a", asked());
+	assert.equal(c.leadership.authority(), null, "one of two");
+	promise("b", asked());
+	assert.equal(c.leadership.authority(), epoch);
+});
+
 test("authority without the store ends in bounded time even with all promises", async () => {
 	const c = candidate([]);
 	c.leadership.releaseStartHold();
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { Worker } from "node:worker_threads";
 import { longestUnknowingMs } from "../src/coordination/controller.js";
 import { reasonImpossible } from "../src/coordination/job-service.js";
 import type { JobSpec, MachineType } from "../src/protocol/model.js";
@@ -284,6 +285,61 @@
 	gone.close();
 });
 
+test("where connections are short workers are asked to open theirs anew, users are not", async () => {
+	const front = await listenPublicApi(service, "127.0.0.1", 0, 5, quiet);
+	const idle: ReturnType<typeof connect>[] = [];
+	const ask = async (path: string, body?: object) => {
+		const method = body ? "POST" : "GET";
+		const answer = await fetch(`http://127.0.0.1:${front.port}${path}`, {
+			method,
+			...(body && { body: JSON.stringify(body) }),
+		});
+		await answer.text();
+		return answer.headers.get("connection");
+	};
+	try {
+		assert.notEqual(await ask("/v1/report", report), "close");
+		for (let i = 0; i < 3; i++) {
+			const socket = connect(front.port, "127.0.0.1");
+			idle.push(socket);
+			await new Promise<void>((resolve) => socket.once("connect", resolve));
+		}
+		assert.equal(await ask("/v1/report", report), "close");
+		assert.notEqual(await ask("/v1/jobs/j-1"), "close");
+	} finally {
+		for (const socket of idle) socket.destroy();
+		front.close();
+	}
+});
+
+test("an answer that came while the process stood still counts, though its deadline has passed", async () => {
+	const source = `
+		const { parentPort } = require("node:worker_threads");
+		const server = require("node:http").createServer((request, response) => {
+			if (request.url === "/never") return;
+			setTimeout(() => response.end("{}"), 100);
+		});
+		server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));`;
+	const worker = new Worker(source, { eval: true });
+	const port = await new Promise<number>((resolve) => worker.once("message", resolve));
+	const client = new HttpClient(`127.0.0.1:${port}`, 2);
+	const standStill = (ms: number) => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+	try {
+		await client.call("GET", "/", undefined, 5000);
+		const answer = client.call("GET", "/", undefined, 200);
+		const none = client.call("GET", "/never", undefined, 200);
+		const failed = assert.rejects(none, { kind: "unknown" });
+		// The requests leave before the process stands still, and both deadlines pass meanwhile.
+		await new Promise((resolve) => setTimeout(resolve, 30));
+		standStill(1000);
+		assert.equal((await answer).status, 200);
+		await failed;
+	} finally {
+		client.close();
+		await worker.terminate();
+	}
+});
+
 test("frames between controllers survive any cutting of the stream", () => {
 	const messages = [{ a: 1 }, { text: "x".repeat(1000), list: [1, null, "y"] }, 7];
 	const bytes = Buffer.concat(messages.map(frame));
