--- a/src/bookkeeping/store-copy.ts
+++ b/src/bookkeeping/store-copy.ts
@@ -45,7 +45,7 @@
 }
 
 /**
- * A node's copy of the live records, as of an revision. Answers of overlapping
+ * A node's copy of the live records, as of a revision. Answers of overlapping
  * watches may arrive in any order, so an event at or before the revision is never
  * applied again: it could bring back a job that has ended since.
  */
@@ -61,7 +61,7 @@
 	readonly machines = new Map<string, Versioned<SharedRecord<MachineRecord>>>();
 	/** Pages of done-sets by job, as the values of `progress` have them. */
 	private readonly pages = new Map<string, Map<number, string>>();
-	/** The latest finals seen; older ones are read from the store when asked for. */
+	/** The latest terminal records seen; older ones are read from the store when asked for. */
 	readonly terminal = new Map<string, TerminalRecord>();
 	/** Cancellations seen since the first load, of which a user may have been told here. */
 	private readonly cancelled = new Map<string, CancelledJob>();
--- a/src/coordination/cluster-state.ts
+++ b/src/coordination/cluster-state.ts
@@ -132,6 +132,13 @@
 		return this.term * attemptsPerTerm + this.counter;
 	}
 
+	/** Cores of the machines that take new work. */
+	get schedulableCpus(): number {
+		let cpus = 0;
+		for (const machine of this.machines.values()) if (machine.schedulable) cpus += machine.type.cpus;
+		return cpus;
+	}
+
 	/** Tasks of the job that may be anywhere, by zone. */
 	zonesOf(job: Job): Record<string, number> {
 		const zones: Record<string, number> = {};
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -82,9 +82,7 @@
 	}
 
 	inOrder(jobs: Job[]): Job[] {
-		const { quotas, machines } = this.clusterState;
-		let cpus = 0;
-		for (const machine of machines.values()) if (machine.schedulable) cpus += machine.type.cpus;
+		const { quotas, schedulableCpus: cpus } = this.clusterState;
 		const teams = new Set(jobs.map((job) => job.spec.team)).size;
 		return servingOrder(
 			jobs,
--- a/src/coordination/replica-capacity.ts
+++ b/src/coordination/replica-capacity.ts
@@ -150,17 +150,11 @@
 		}
 		if (this.clusterState.jobs.size === 0) return specs;
 		for (const name of classesWithFastStart(this.objectives, this.clusterState.types.values()))
-			if (!known.has(name) && !this.arrayClasses.has(name)) specs.push(assumedReplicas(name, this.cpusUp()));
+			if (!known.has(name) && !this.arrayClasses.has(name))
+				specs.push(assumedReplicas(name, this.clusterState.schedulableCpus));
 		return specs;
 	}
 
-	private cpusUp(): number {
-		let cpus = 0;
-		for (const machine of this.clusterState.machines.values())
-			if (machine.schedulable) cpus += machine.type.cpus;
-		return cpus;
-	}
-
 	private rent({ spec, count, zones }: Shortage, look: FleetLook): boolean {
 		const fullZones = new Set(Object.keys(zones).filter((zone) => zoneRoom(spec, zones, zone) < 1));
 		// More are on their way as a rule, so a machine for many may be worth its price.
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -1,9 +1,8 @@
 import * as v from "valibot";
+import { amount, positive } from "./checks.js";
 import { checkSchema, SettingsError } from "./settings.js";
 
 /** Operators' own settings (YAML). Unknown fields are rejected by name. */
-const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const whole = v.pipe(v.number(), v.integer(), v.minValue(1));
 
 const Operator = v.strictObject({
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,10 +1,9 @@
 import { readFileSync } from "node:fs";
 import { parse as parseToml } from "smol-toml";
 import * as v from "valibot";
+import { amount, positive } from "./checks.js";
 
 /** What the platform hands over in its TOML file. Unknown fields are ignored. */
-const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const count = v.pipe(v.number(), v.integer(), v.minValue(1));
 const text = v.pipe(v.string(), v.nonEmpty());
 const address = v.pipe(v.string(), v.regex(/^\S+:\d{1,5}$/, "expected an address such as 10.0.0.1:8080"));
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -4,24 +4,11 @@
 import { ClusterState } from "../src/coordination/cluster-state.js";
 import { Fleet } from "../src/coordination/fleet.js";
 import type { RentRequest } from "../src/protocol/cloud-api.js";
-import type { JobSpec, MachineType } from "../src/protocol/model.js";
+import type { JobSpec } from "../src/protocol/model.js";
 import { defaultOperator } from "../src/protocol/operator.js";
 import { type Objective, startObjectives } from "../src/protocol/settings.js";
 import { FakeTime } from "./support/fake-time.js";
-import { specOf } from "./support/specs.js";
-
-const type: MachineType = {
-	name: "medium",
-	cpus: 8,
-	gpus: 0,
-	memoryGb: 64,
-	cacheGb: 50,
-	fetchGbPerS: 1,
-	price: 0.4,
-	spotPrice: 0.1,
-	bootS: 30,
-	zones: ["a", "b", "c"],
-};
+import { specOf, mediumType as type } from "./support/specs.js";
 
 const teams = [{ name: "red", cpus: 400, cpus_max: 400, gpus: 0, gpus_max: 0 }];
 
--- a/tests/scale.test.ts
+++ b/tests/scale.test.ts
@@ -12,28 +12,15 @@
 import { machinesToCut, machinesToSpare } from "../src/coordination/scaling.js";
 import { SharedRecords } from "../src/coordination/shared-records.js";
 import { Takeover } from "../src/coordination/takeover.js";
-import type { MachineType } from "../src/protocol/model.js";
 import { defaultOperator } from "../src/protocol/operator.js";
 import type { PlatformSettings } from "../src/protocol/settings.js";
 import { frame } from "../src/transport/peer-link.js";
 import { FakeTime } from "./support/fake-time.js";
-import { specOf } from "./support/specs.js";
+import { specOf, mediumType as type } from "./support/specs.js";
 
 /** What the fleets that the operators run, and twice that, ask of each part, by counted work. */
 const sizes = [4000, 8000];
 
-const type: MachineType = {
-	name: "medium",
-	cpus: 8,
-	gpus: 0,
-	memoryGb: 64,
-	cacheGb: 50,
-	fetchGbPerS: 1,
-	price: 0.4,
-	spotPrice: 0.1,
-	bootS: 30,
-	zones: ["a", "b", "c"],
-};
 const silentLog = { error() {}, info() {}, debug() {} };
 /** A message between controllers that waits behind more than this costs the link. */
 const linkBytes = 2 * 1024 * 1024;
--- a/tests/support/specs.ts
+++ b/tests/support/specs.ts
@@ -1,4 +1,4 @@
-import type { JobSpec } from "../../src/protocol/model.js";
+import type { JobSpec, MachineType } from "../../src/protocol/model.js";
 
 /** A plain job of team red, with what a test wants otherwise. */
 export function specOf(id: string, more: Partial<JobSpec> = {}): JobSpec {
@@ -25,3 +25,17 @@
 		...more,
 	};
 }
+
+/** A machine type that is offered in three zones. */
+export const mediumType: MachineType = {
+	name: "medium",
+	cpus: 8,
+	gpus: 0,
+	memoryGb: 64,
+	cacheGb: 50,
+	fetchGbPerS: 1,
+	price: 0.4,
+	spotPrice: 0.1,
+	bootS: 30,
+	zones: ["a", "b", "c"],
+};
