--- /dev/null
+++ b/tests/failures.test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Attempt, Job } from "../src/bookkeeping/jobs.js";
+import { Machine } from "../src/bookkeeping/machines.js";
+import { ClusterState } from "../src/coordination/cluster-state.js";
+import { TaskOutcomes } from "../src/coordination/task-outcomes.js";
+import { mediumType, specOf } from "./support/specs.js";
+
+const quiet = { error() {}, info() {}, debug() {} };
+
+/** Machines with room for everything, and the outcomes of what runs on them. */
+class Setup {
+	readonly clusterState = new ClusterState(
+		1,
+		[{ name: "red", cpus: 1000, cpus_max: 1000, gpus: 0, gpus_max: 0 }],
+		new Map([[mediumType.name, mediumType]]),
+	);
+	private readonly outcomes = new TaskOutcomes(this.clusterState, 2, quiet);
+	private now = 0;
+
+	machine(id: string): Machine {
+		const machine = new Machine(id, mediumType, "a", true, 0);
+		Object.assign(machine, { up: true, confirmed: true, durable: true });
+		this.clusterState.machines.set(id, machine);
+		return machine;
+	}
+
+	job(id: string): Job {
+		const job = this.clusterState.addJob(id, specOf(id, { tasks: 50, cpus: 0.1 }), 0, 1);
+		job.fillWaiting();
+		return job;
+	}
+
+	private run(job: Job, machine: Machine): Attempt {
+		const attempt = this.clusterState.decide(job, machine);
+		assert.ok(attempt, `${job.id} starts on ${machine.id}: ${this.clusterState.refusal(job, machine)}`);
+		this.now += 1000;
+		attempt.runningAt = this.now;
+		return attempt;
+	}
+
+	fails(job: Job, machine: Machine): void {
+		const attempt = this.run(job, machine);
+		this.clusterState.finish(attempt);
+		this.outcomes.record({ attempt, cause: "error" }, this.now + 10);
+	}
+
+	succeeds(job: Job, machine: Machine): void {
+		const attempt = this.run(job, machine);
+		this.clusterState.markDone(job, attempt.index);
+		this.clusterState.finish(attempt);
+		this.outcomes.record({ attempt, cause: "done" }, this.now + 10);
+	}
+}
+
+test("jobs that fail wherever they run cost no machine", () => {
+	const setup = new Setup();
+	const machines = ["a", "b", "c"].map((id) => setup.machine(id));
+	const jobs = ["j-1", "j-2", "j-3"].map((id) => setup.job(id));
+	for (const machine of machines) for (const job of jobs) setup.fails(job, machine);
+	for (const machine of machines) {
+		assert.equal(machine.quarantined, false, machine.id);
+		assert.equal(machine.onProbation, false, machine.id);
+	}
+	for (const job of jobs) assert.equal(job.failsEverywhere, true, job.id);
+	setup.succeeds(jobs[0] as Job, machines[0] as Machine);
+	assert.equal(jobs[0]?.failsEverywhere, false, "one good run clears it");
+	assert.equal(jobs[0]?.notBefore, 0);
+});
+
+test("machines that failed several jobs are set aside once these succeed elsewhere", () => {
+	const setup = new Setup();
+	const [a, b, good] = ["a", "b", "good"].map((id) => setup.machine(id)) as [Machine, Machine, Machine];
+	const [first, second] = ["j-1", "j-2"].map((id) => setup.job(id)) as [Job, Job];
+	for (const machine of [a, b]) for (const job of [first, second]) setup.fails(job, machine);
+	assert.equal(a.quarantined || b.quarantined, false, "it may be the jobs");
+	setup.succeeds(first, good);
+	setup.succeeds(second, good);
+	assert.deepEqual([a.quarantined, b.quarantined, good.quarantined], [true, true, false]);
+	assert.equal(first.failsEverywhere, false);
+});
+
+test("a machine that fails jobs which succeeded before is set aside at the second", () => {
+	const setup = new Setup();
+	const [sick, good] = ["sick", "good"].map((id) => setup.machine(id)) as [Machine, Machine];
+	const jobs = ["j-1", "j-2"].map((id) => setup.job(id));
+	for (const job of jobs) setup.succeeds(job, good);
+	setup.fails(jobs[0] as Job, sick);
+	assert.deepEqual([sick.onProbation, sick.quarantined], [true, false]);
+	setup.fails(jobs[1] as Job, sick);
+	assert.equal(sick.quarantined, true);
+});
+
+test("a machine set aside for jobs that turn out faulty is taken back", () => {
+	const setup = new Setup();
+	const [suspect, other] = ["suspect", "other"].map((id) => setup.machine(id)) as [Machine, Machine];
+	const jobs = ["j-1", "j-2", "j-3", "j-4"].map((id) => setup.job(id));
+	for (const job of jobs) setup.fails(job, suspect);
+	assert.equal(suspect.quarantined, true, "four of which nothing is known count as two");
+	setup.fails(jobs[0] as Job, other);
+	assert.equal(suspect.quarantined, false);
+	assert.equal(other.quarantined, false);
+});
+
+test("what faulty machines do to a job does not make the job fail everywhere", () => {
+	const setup = new Setup();
+	const sick = ["a", "b", "c"].map((id) => setup.machine(id));
+	const good = setup.machine("good");
+	const proven = ["j-1", "j-2"].map((id) => setup.job(id));
+	const unlucky = setup.job("j-3");
+	for (const machine of sick) setup.fails(unlucky, machine);
+	assert.equal(unlucky.failsEverywhere, true, "so far nothing speaks for it");
+	for (const job of proven) setup.succeeds(job, good);
+	for (const machine of sick) for (const job of proven) setup.fails(job, machine);
+	for (const job of proven) setup.succeeds(job, good);
+	assert.deepEqual(
+		sick.map((machine) => machine.quarantined),
+		[true, true, true],
+	);
+	assert.equal(unlucky.failsEverywhere, false);
+});
