--- a/src/coordination/reserved-machines.ts
+++ b/src/coordination/reserved-machines.ts
@@ -14,6 +14,15 @@
 /** What was waited for so long is not stopped at once for work of more right. */
 const keptMs = 60_000;
 
+/** Estimates are often wrong: a machine that has no room after this is given up for another. */
+const longestMs = 90_000;
+
+interface Reservation {
+	machine: Machine;
+	/** Steady time. */
+	until: number;
+}
+
 interface Prospect {
 	machine: Machine;
 	/** Seconds until the machine has room, going by estimates. */
@@ -30,7 +39,7 @@
  */
 export class ReservedMachines {
 	private nextLookAt = 0;
-	private readonly machineOf = new Map<Job, Machine>();
+	private readonly reservations = new Map<Job, Reservation>();
 
 	constructor(
 		private readonly clusterState: ClusterState,
@@ -51,7 +60,7 @@
 
 	private startReserved(now: number): Attempt[] {
 		const started: Attempt[] = [];
-		for (const [job, machine] of this.machineOf) {
+		for (const [job, { machine, until }] of this.reservations) {
 			const attempt = this.clusterState.decide(job, machine);
 			if (attempt) {
 				attempt.keptUntil = now + keptMs;
@@ -59,8 +68,8 @@
 				started.push(attempt);
 				this.log.info({ job: job.id, machine: machine.id }, "start decided on the reserved machine");
 			}
-			const needed = attempt === null && stillWaits(job) && machine.schedulable && this.holds(machine);
-			if (!needed) this.release(job, machine);
+			const usable = machine.schedulable && this.holds(machine) && now < until;
+			if (attempt || !usable || !stillWaits(job)) this.release(job, machine);
 		}
 		return started;
 	}
@@ -71,7 +80,7 @@
 	}
 
 	private release(job: Job, machine: Machine): void {
-		this.machineOf.delete(job);
+		this.reservations.delete(job);
 		machine.reservedFor = null;
 		this.clusterState.placementDue = true;
 	}
@@ -82,7 +91,7 @@
 			.filter(
 				(job) =>
 					stillWaits(job) &&
-					!this.machineOf.has(job) &&
+					!this.reservations.has(job) &&
 					date - job.at > waitsForRoomS * 1000 &&
 					this.clusterState.mayRun(job, now),
 			)
@@ -94,12 +103,12 @@
 		const open = [...this.clusterState.machines.values()].filter((m) => m.schedulable && !m.onProbation);
 		const most = Math.max(1, Math.floor(open.length * mostReservedPart));
 		for (const job of jobs) {
-			if (this.machineOf.size >= most) return;
+			if (this.reservations.size >= most) return;
 			const best = this.soonest(job, open, now);
 			// Room that one end makes is given out in the order of service.
 			if (!best || best.ends < 2) continue;
 			best.machine.reservedFor = job;
-			this.machineOf.set(job, best.machine);
+			this.reservations.set(job, { machine: best.machine, until: now + longestMs });
 			const inS = Math.round(best.seconds);
 			this.log.info({ job: job.id, machine: best.machine.id, inS }, "machine reserved");
 		}
