--- a/src/transport/public-api.ts
+++ b/src/transport/public-api.ts
@@ -12,7 +12,7 @@
 
 const maxBody = 64 * 1024;
 /** With more of its connections in use, those of workers are closed between reports. */
-const crowdedPart = 0.6;
+const crowdedPart = 0.9;
 const bodyTooLarge = `the body is larger than ${maxBody} bytes`;
 
 /** What the front needs of the service behind it. */
