--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -286,7 +286,7 @@
 });
 
 test("where connections are short workers are asked to open theirs anew, users are not", async () => {
-	const front = await listenPublicApi(service, "127.0.0.1", 0, 5, quiet);
+	const front = await listenPublicApi(service, "127.0.0.1", 0, 10, quiet);
 	const idle: ReturnType<typeof connect>[] = [];
 	const ask = async (path: string, body?: object) => {
 		const method = body ? "POST" : "GET";
@@ -299,7 +299,7 @@
 	};
 	try {
 		assert.notEqual(await ask("/v1/report", report), "close");
-		for (let i = 0; i < 3; i++) {
+		for (let i = 0; i < 9; i++) {
 			const socket = connect(front.port, "127.0.0.1");
 			idle.push(socket);
 			await new Promise<void>((resolve) => socket.once("connect", resolve));
