--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { execFile } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, request } from "node:http";
 import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -288,15 +289,17 @@
 test("where connections are short workers are asked to open theirs anew, users are not", async () => {
 	const front = await listenPublicApi(service, "127.0.0.1", 0, 10, quiet);
 	const idle: ReturnType<typeof connect>[] = [];
-	const ask = async (path: string, body?: object) => {
-		const method = body ? "POST" : "GET";
-		const answer = await fetch(`http://127.0.0.1:${front.port}${path}`, {
-			method,
-			...(body && { body: JSON.stringify(body) }),
+	const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+	const ask = (path: string, body?: object) =>
+		new Promise<string | undefined>((resolve, reject) => {
+			const method = body ? "POST" : "GET";
+			const sent = request({ host: "127.0.0.1", port: front.port, path, method, agent }, (answer) => {
+				answer.resume();
+				answer.once("end", () => resolve(answer.headers.connection));
+			});
+			sent.once("error", reject);
+			sent.end(body && JSON.stringify(body));
 		});
-		await answer.text();
-		return answer.headers.get("connection");
-	};
 	try {
 		assert.notEqual(await ask("/v1/report", report), "close");
 		for (let i = 0; i < 9; i++) {
@@ -308,6 +311,7 @@
 		assert.notEqual(await ask("/v1/jobs/j-1"), "close");
 	} finally {
 		for (const socket of idle) socket.destroy();
+		agent.destroy();
 		front.close();
 	}
 });
