--- a/tests/support/cloud.ts
+++ b/tests/support/cloud.ts
@@ -27,6 +27,8 @@
 	outage = false;
 	/** Zones in which nothing is to be had. */
 	readonly full = new Set<string>();
+	/** What is rented from now on takes so many times its boot time; infinite: it never comes up. */
+	bootTimes = 1;
 	/** Every rental request name ever seen, with how often it rented. */
 	readonly requests = new Map<string, number>();
 
@@ -96,7 +98,8 @@
 			};
 			this.hosts.set(host.id, host);
 			ids.push(host.id);
-			this.time.after(type.boot_s * 1000, () => {
+			if (!Number.isFinite(this.bootTimes)) continue;
+			this.time.after(type.boot_s * this.bootTimes * 1000, () => {
 				if (this.hosts.has(host.id)) this.hooks.up(host, type);
 			});
 		}
--- a/tests/support/trace-player.ts
+++ b/tests/support/trace-player.ts
@@ -177,6 +177,9 @@
 		cloud_outage: (on) => {
 			this.world.cloud.outage = on;
 		},
+		boot_times: (times) => {
+			this.world.cloud.bootTimes = times === "never" ? Number.POSITIVE_INFINITY : times;
+		},
 		zone_full: (zone) => {
 			this.world.cloud.full.add(zone);
 		},
--- a/tests/support/trace.ts
+++ b/tests/support/trace.ts
@@ -51,6 +51,8 @@
 	sick?: string | string[];
 	taken?: { piece: string; in_s: number };
 	cloud_outage?: boolean;
+	/** What is rented from now on takes so many times its boot time, or never comes up. */
+	boot_times?: number | "never";
 	/** From now on nothing can be rented in this zone. */
 	zone_full?: string;
 	lose_answers?: { to: string; path: string; method?: string };
