--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -25,6 +25,7 @@
 import { defaultOperator } from "../src/protocol/operator.js";
 import type { Grant, ViewMachine } from "../src/protocol/placement.js";
 import { FakeTime } from "./support/fake-time.js";
+import { silentLog } from "./support/silent-log.js";
 import { specOf } from "./support/specs.js";
 
 const small: MachineType = {
@@ -204,7 +205,7 @@
 		leaseMs: 10_000,
 		requestPrefix: "r",
 		hooks: { post: (run) => run(), authority: () => true, gone() {} },
-		log: { error() {}, info() {}, debug() {} },
+		log: silentLog,
 	});
 	// Held: its one task runs, so nothing returns it while it is marked.
 	first.hold("j-9/0", {
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -4,10 +4,9 @@
 import { Machine } from "../src/bookkeeping/machines.js";
 import { ClusterState } from "../src/coordination/cluster-state.js";
 import { TaskOutcomes } from "../src/coordination/task-outcomes.js";
+import { silentLog } from "./support/silent-log.js";
 import { mediumType, specOf } from "./support/specs.js";
 
-const quiet = { error() {}, info() {}, debug() {} };
-
 /** Machines with room for everything, and the outcomes of what runs on them. */
 class Setup {
 	readonly clusterState = new ClusterState(
@@ -15,7 +14,7 @@
 		[{ name: "red", cpus: 1000, cpus_max: 1000, gpus: 0, gpus_max: 0 }],
 		new Map([[mediumType.name, mediumType]]),
 	);
-	private readonly outcomes = new TaskOutcomes(this.clusterState, 2, quiet);
+	private readonly outcomes = new TaskOutcomes(this.clusterState, 2, silentLog);
 	private now = 0;
 
 	machine(id: string): Machine {
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -8,6 +8,7 @@
 import { defaultOperator } from "../src/protocol/operator.js";
 import { type Objective, startObjectives } from "../src/protocol/settings.js";
 import { FakeTime } from "./support/fake-time.js";
+import { silentLog } from "./support/silent-log.js";
 import { specOf, mediumType as type } from "./support/specs.js";
 
 const teams = [{ name: "red", cpus: 400, cpus_max: 400, gpus: 0, gpus_max: 0 }];
@@ -39,7 +40,7 @@
 			leaseMs: 10_000,
 			requestPrefix: "r",
 			hooks: { post: (run) => run(), authority: () => true, gone() {} },
-			log: { error() {}, info() {}, debug() {} },
+			log: silentLog,
 		});
 	}
 
--- a/tests/races.test.ts
+++ b/tests/races.test.ts
@@ -11,11 +11,11 @@
 import type { HttpResponse } from "../src/transport/http-client.js";
 import { StoreClient } from "../src/transport/store-client.js";
 import { FakeTime } from "./support/fake-time.js";
+import { silentLog } from "./support/silent-log.js";
 import { specOf } from "./support/specs.js";
 import { StateService } from "./support/state-service.js";
 import { nodeNames, World } from "./support/world.js";
 
-const quiet = { error() {}, info() {}, debug() {} };
 const job = { id: "j-000001", pieces: 2, cores: 2, runs: 8 };
 const final = (world: World) => world.state.rows.get("r/fin/j-000001")?.v as { status: string } | undefined;
 
@@ -172,7 +172,7 @@
 			learn: (cancelled) => learnt.push(...cancelled.map(([id]) => id)),
 		},
 		others,
-		quiet,
+		silentLog,
 		() => 0,
 	);
 	const key = () => {
@@ -383,7 +383,7 @@
 	};
 	const replica = new StoreCopy();
 	const store = new StoreClient(caller, time, 1000, 1000, 1);
-	const copy = new StoreSync(replica, store, time, (command) => command(), quiet);
+	const copy = new StoreSync(replica, store, time, (command) => command(), silentLog);
 	copy.start();
 	await time.advance(8000);
 	assert.ok(time.now() - copy.knownAt <= 5100, "two waits of a watch at most");
--- a/tests/scale.test.ts
+++ b/tests/scale.test.ts
@@ -17,12 +17,12 @@
 import type { PlatformSettings } from "../src/protocol/settings.js";
 import { frame } from "../src/transport/peer-link.js";
 import { FakeTime } from "./support/fake-time.js";
+import { silentLog } from "./support/silent-log.js";
 import { specOf, mediumType as type } from "./support/specs.js";
 
 /** What the fleets that the operators run, and twice that, ask of each part, by counted work. */
 const sizes = [4000, 8000];
 
-const silentLog = { error() {}, info() {}, debug() {} };
 /** A message between controllers that waits behind more than this costs the link. */
 const linkBytes = 2 * 1024 * 1024;
 
--- a/tests/stalls.test.ts
+++ b/tests/stalls.test.ts
@@ -11,10 +11,9 @@
 import { defaultOperator } from "../src/protocol/operator.js";
 import type { PlatformSettings } from "../src/protocol/settings.js";
 import { FakeTime } from "./support/fake-time.js";
+import { silentLog } from "./support/silent-log.js";
 import { World } from "./support/world.js";
 
-const quiet = { error() {}, info() {}, debug() {} };
-
 function fleetOf(size: number): ClusterState {
 	const clusterState = new ClusterState(1, [], new Map());
 	for (let i = 0; i < size; i++) {
@@ -52,7 +51,7 @@
 		peers: { send() {} },
 		served: () => true,
 		resign: (why) => resigned.push(why),
-		log: quiet,
+		log: silentLog,
 	});
 	const tick = (from: number, to: number) => {
 		for (let now = from; now <= to; now += 100) monitor.tick(now, () => []);
@@ -79,7 +78,7 @@
 	const clusterState = fleetOf(50);
 	const hooks = { post() {}, active: () => true, ended: () => false, apply() {}, unlisted: () => false };
 	const workers = { command: () => new Promise<never>(() => {}) };
-	const takeover = new Takeover(clusterState, workers, 0, hooks, quiet);
+	const takeover = new Takeover(clusterState, workers, 0, hooks, silentLog);
 	const [one] = clusterState.machines.values();
 	takeover.hide(one as Machine, 1);
 	takeover.tick(1000, false);
@@ -116,7 +115,7 @@
 		rows: async () => ({ rows: [], epoch: 1 }),
 		watch: () => new Promise<never>((_, reject) => fail.push(reject)),
 	} as unknown as StorePort;
-	const sync = new StoreSync(new StoreCopy(), store, time, (run) => run(), quiet);
+	const sync = new StoreSync(new StoreCopy(), store, time, (run) => run(), silentLog);
 	sync.start();
 	await time.advance(100);
 	await time.advance(9000);
--- a/tests/surface.test.ts
+++ b/tests/surface.test.ts
@@ -20,11 +20,11 @@
 import { listenPublicApi, type PublicService, publicApi } from "../src/transport/public-api.js";
 import { TokenBucket } from "../src/transport/token-bucket.js";
 import { version } from "../src/version.js";
+import { silentLog } from "./support/silent-log.js";
 import { specOf } from "./support/specs.js";
 import { World } from "./support/world.js";
 
 const root = fileURLToPath(new URL("../../../", import.meta.url));
-const quiet = { error() {}, info() {}, debug() {} };
 
 const settings = `node = "runner-0"
 domain = "z"
@@ -203,7 +203,7 @@
 	// Its tasks run half by half in the one zone, so this array can run (trace 47 plays its like).
 	assert.equal(why({ zone: "a", spread: true, oneZone: true }), null);
 
-	const app = publicApi(service, quiet);
+	const app = publicApi(service, silentLog);
 	const post = (body: unknown) => app.request("/v1/jobs", { method: "POST", body: JSON.stringify(body) });
 	assert.equal((await post({ ...job, id: "j-2", pieces: 0 })).status, 400);
 	const known = await post({ ...job, id: "j-1", pieces: 0 });
@@ -220,7 +220,7 @@
 });
 
 test("the front answers every kind of request cleanly", async () => {
-	const app = publicApi(service, quiet);
+	const app = publicApi(service, silentLog);
 	const post = (path: string, body: string) => app.request(path, { method: "POST", body });
 	assert.equal((await app.request("/ready")).status, 200);
 	assert.equal((await post("/v1/jobs", JSON.stringify(job))).status, 201);
@@ -256,7 +256,7 @@
 };
 
 test("the front serves over a socket, bounds bodies and survives garbage", async () => {
-	const front = await listenPublicApi(service, "127.0.0.1", 0, 50, quiet);
+	const front = await listenPublicApi(service, "127.0.0.1", 0, 50, silentLog);
 	try {
 		await new Promise<void>((resolve) => {
 			const socket = connect(front.port, "127.0.0.1", () => socket.write("nonsense\r\n\r\n"));
@@ -287,7 +287,7 @@
 });
 
 test("where connections are short workers are asked to open theirs anew, users are not", async () => {
-	const front = await listenPublicApi(service, "127.0.0.1", 0, 10, quiet);
+	const front = await listenPublicApi(service, "127.0.0.1", 0, 10, silentLog);
 	const idle: ReturnType<typeof connect>[] = [];
 	const agent = new Agent({ keepAlive: true, maxSockets: 1 });
 	const ask = (path: string, body?: object) =>
