Jobs that fail on one machine type only cost no machine of it

Need: two sound jobs whose tasks cannot run on one machine type convicted every machine of that type: a success elsewhere cleared the jobs, and what had failed before was held against the machines. A job that failed on two machines of a type and never succeeded there, but does on another type, is taken not to suit the type.

Before: the new test in failures.test.ts fails with the former task-outcomes.ts (machines set aside).

--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -26,6 +26,9 @@
 /** The same with so many failures, where there are too few machines to tell. */
 const failsEverywhereFailures = 8;
 
+/** A job that failed on so many machines of a type, and never succeeded there, does not suit the type. */
+const unfitFrom = 2;
+
 /** A live job as its leader sees it. */
 export class Job {
 	readonly done: TaskSet;
@@ -48,6 +51,10 @@
 	failuresInRow = 0;
 	/** Steady time of the last of these failures. */
 	failedAt = -Infinity;
+	/** Machine types on which tasks of this job have succeeded. */
+	private readonly provenTypes = new Set<string>();
+	/** Machine types on which it fails though it succeeds on another: its own fault, not the machines'. */
+	readonly unfitTypes = new Set<string>();
 	notBefore = 0;
 	/** A machine was reserved for its first task, which is done once for each job. */
 	hadReservation = false;
@@ -104,6 +111,20 @@
 		return this.failedOn.size > 1;
 	}
 
+	/**
+	 * A task has succeeded on the type. Types on which the job failed on several machines, and never
+	 * succeeded, do not suit it.
+	 */
+	noteSuccess(type: string): void {
+		this.provenTypes.add(type);
+		this.unfitTypes.delete(type);
+		const failures = new Map<string, number>();
+		for (const { type: failed } of this.failedOn)
+			failures.set(failed.name, (failures.get(failed.name) ?? 0) + 1);
+		for (const [name, machines] of failures)
+			if (machines >= unfitFrom && !this.provenTypes.has(name)) this.unfitTypes.add(name);
+	}
+
 	/** Tasks that run, or save before they end. */
 	get running(): number {
 		let count = 0;
--- a/src/coordination/grants.ts
+++ b/src/coordination/grants.ts
@@ -4,8 +4,9 @@
 import { starved } from "./ordering.js";
 import { placeable } from "./placing.js";
 
-/** So long a job keeps off machines on which it failed. */
+/** So long a job keeps off machines on which it failed, and off types that do not suit it. */
 const avoidMs = 20_000;
+const avoidTypeMs = 60_000;
 
 export interface TeamGrant {
 	team: string;
@@ -43,7 +44,7 @@
 	for (const pass of passes) allocation.run(pass);
 	return [...allocation.counts].map(([job, count]) => ({
 		team: job.spec.team,
-		grant: grantOf(clusterState, job, count, moment.now),
+		grant: grantOf(clusterState, job, count, views, moment.now),
 	}));
 }
 
@@ -100,13 +101,28 @@
 	}
 }
 
-function grantOf(clusterState: ClusterState, job: Job, count: number, now: number): Grant {
+/** For a while only: there may be no others, and what was wrong there may be over. */
+function machinesToAvoid(job: Job, views: ViewMachine[], now: number): string[] {
+	if (job.failsEverywhere) return [];
+	const sinceMs = now - job.failedAt;
+	const machines = sinceMs <= avoidMs ? [...job.failedOn].map((machine) => machine.id) : [];
+	if (job.unfitTypes.size === 0 || sinceMs > avoidTypeMs) return machines;
+	const unfit = views.filter((view) => job.unfitTypes.has(view.type)).map((view) => view.id);
+	return [...new Set([...machines, ...unfit])];
+}
+
+function grantOf(
+	clusterState: ClusterState,
+	job: Job,
+	count: number,
+	views: ViewMachine[],
+	now: number,
+): Grant {
 	const { spec } = job;
 	return {
 		job: job.id,
 		count,
-		// For a while only: there may be no others, and what was wrong there may be over.
-		avoid: job.failsEverywhere || now - job.failedAt > avoidMs ? [] : [...job.failedOn].map((m) => m.id),
+		avoid: machinesToAvoid(job, views, now),
 		zones: spec.oneZone || spec.spread ? clusterState.zonesOf(job) : {},
 		...(job.standing && { beside: [...job.attempts.values()].map((a) => a.machine.id) }),
 	};
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -202,7 +202,7 @@
 	return machine.hourlyPrice / machine.type.cpus;
 }
 
-function viewOf(machine: Machine): ViewMachine {
+export function viewOf(machine: Machine): ViewMachine {
 	return {
 		id: machine.id,
 		type: machine.type.name,
--- a/src/coordination/task-outcomes.ts
+++ b/src/coordination/task-outcomes.ts
@@ -50,8 +50,10 @@
 		if (runningAt !== null) this.recordRun(job, machine, (now - runningAt) / 1000, now);
 		machine.onProbation = false;
 		machine.failedJobs.clear();
-		// The job is sound, so what failed before was the machines' fault.
-		const failedOn = [...job.failedOn];
+		job.noteSuccess(machine.type.name);
+		// The job is sound, so what failed before was the machines' fault, unless it does not suit their type.
+		const failedOn = [...job.failedOn].filter(({ type }) => !job.unfitTypes.has(type.name));
+		for (const other of job.failedOn) if (job.unfitTypes.has(other.type.name)) other.failedJobs.delete(job);
 		job.failedOn.clear();
 		job.failuresInRow = 0;
 		job.notBefore = 0;
@@ -81,7 +83,7 @@
 		if (job.standing) job.notBefore = now + pauseMs(replicaPause, job.failedOn.size);
 		// Perhaps it fails everywhere: tried again with growing pauses.
 		else if (job.failsOnSeveral) job.notBefore = now + pauseMs(failsOnSeveralPause, failureSteps(job));
-		if (cause !== "error") return;
+		if (cause !== "error" || job.unfitTypes.has(machine.type.name)) return;
 		machine.failedJobs.add(job);
 		// Whatever was held against the others for this job may now be the job's fault.
 		if (job.failedOn.size > 1) this.acquit(job);
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -3,6 +3,8 @@
 import type { Attempt, Job } from "../src/bookkeeping/jobs.js";
 import { Machine } from "../src/bookkeeping/machines.js";
 import { ClusterState } from "../src/coordination/cluster-state.js";
+import { grantsFor } from "../src/coordination/grants.js";
+import { viewOf } from "../src/coordination/placement-cycle.js";
 import { TaskOutcomes } from "../src/coordination/task-outcomes.js";
 import { silentLog } from "./support/silent-log.js";
 import { mediumType, specOf } from "./support/specs.js";
@@ -17,8 +19,8 @@
 	private readonly outcomes = new TaskOutcomes(this.clusterState, 2, silentLog);
 	private now = 0;
 
-	machine(id: string): Machine {
-		const machine = new Machine(id, mediumType, "a", true, 0);
+	machine(id: string, type = mediumType): Machine {
+		const machine = new Machine(id, type, "a", true, 0);
 		Object.assign(machine, { up: true, confirmed: true, durable: true });
 		this.clusterState.machines.set(id, machine);
 		return machine;
@@ -44,6 +46,13 @@
 		this.outcomes.record({ attempt, cause: "error" }, this.now + 10);
 	}
 
+	/** Machines that the job would be kept off this long after its last failure. */
+	avoidedBy(job: Job, sinceMs: number): string[] {
+		const views = [...this.clusterState.machines.values()].map(viewOf);
+		const moment = { now: job.failedAt + sinceMs, date: 0 };
+		return grantsFor(this.clusterState, [job], views, moment)[0]?.grant.avoid ?? [];
+	}
+
 	succeeds(job: Job, machine: Machine): void {
 		const attempt = this.run(job, machine);
 		this.clusterState.markDone(job, attempt.index);
@@ -118,3 +127,29 @@
 	);
 	assert.equal(unlucky.failsEverywhere, false);
 });
+
+test("jobs that fail on one machine type only cost no machine of it, and keep off it for a while", () => {
+	const setup = new Setup();
+	const narrow = { ...mediumType, name: "narrow" };
+	const unsuited = ["a", "b", "c"].map((id) => setup.machine(id, narrow));
+	const good = setup.machine("good");
+	const jobs = ["j-1", "j-2", "j-3"].map((id) => setup.job(id)) as [Job, Job, Job];
+	for (let round = 0; round < 2; round++) {
+		for (const machine of unsuited) for (const job of jobs) setup.fails(job, machine);
+		for (const job of jobs) setup.succeeds(job, good);
+		for (const machine of unsuited)
+			assert.deepEqual(
+				[machine.quarantined, machine.onProbation],
+				[false, false],
+				`${machine.id} in ${round}`,
+			);
+	}
+	const [job] = jobs;
+	assert.deepEqual([...job.unfitTypes], ["narrow"]);
+	assert.deepEqual(setup.avoidedBy(job, 1000), ["a", "b", "c"]);
+	assert.deepEqual(setup.avoidedBy(job, 70_000), [], "nothing else may be there, so it is tried again");
+	setup.succeeds(job, unsuited[0] as Machine);
+	assert.equal(job.unfitTypes.size, 0, "one good run there clears the type");
+	setup.fails(jobs[1], unsuited[0] as Machine);
+	assert.equal(unsuited[0]?.quarantined, false);
+});
