--- /dev/null
+++ b/packages/team-quota/src/commands.ts
@@ -0,0 +1,147 @@
+import { type Amount, inUnits, nothing, plus } from "./amount.js";
+import { changeLimit, LimitChangeError, type LimitRequest } from "./limit-change.js";
+import { packValue, unpackValue } from "./packed-record.js";
+import { allotted, type LimitTerms, type QuotaRecord, unallotted } from "./record.js";
+import type { QuotaRow, QuotaStore } from "./stored-values.js";
+
+/** What `ramphub quota` does, on the state service alone. */
+
+interface ShownAmount {
+	/** null: no limit. */
+	cpus: number | null;
+	gpus: number | null;
+}
+
+interface ShownTerms {
+	limit: ShownAmount;
+	guarantee: ShownAmount;
+}
+
+export interface ShownAllotment {
+	node: string;
+	process: string;
+	amount: ShownAmount;
+	reclaiming: ShownAmount;
+	reason: string | null;
+}
+
+export interface ShownTeam extends ShownTerms {
+	team: string;
+	revision: number;
+	allotted: ShownAmount;
+	unallotted: ShownAmount;
+	pending: (ShownTerms & { revision: number; requestedAt: string; why: string }) | null;
+	allotments: ShownAllotment[];
+}
+
+/** The state service holds no record of the team. */
+export class UnknownTeamError extends Error {}
+
+/** Others changed the records again and again meanwhile. */
+export class ContendedError extends Error {}
+
+const mostTries = 8;
+
+function shownAmount({ cpus, gpus }: Amount): ShownAmount {
+	const shown = (value: number) => (Number.isFinite(inUnits(value)) ? inUnits(value) : null);
+	return { cpus: shown(cpus), gpus: shown(gpus) };
+}
+
+function shownTerms({ limit, guarantee }: LimitTerms): ShownTerms {
+	return { limit: shownAmount(limit), guarantee: shownAmount(guarantee) };
+}
+
+/** A record in CPUs and accelerators, for people and programs. */
+export function shownTeam(record: QuotaRecord): ShownTeam {
+	const { team, revision, inForce, pending, allotments } = record;
+	return {
+		team,
+		revision,
+		...shownTerms(inForce),
+		allotted: shownAmount(allotted(record)),
+		unallotted: shownAmount(unallotted(record)),
+		pending: pending && {
+			revision: pending.revision,
+			requestedAt: new Date(pending.requestedAt).toISOString(),
+			...shownTerms(pending),
+			why: "controllers still hold more than the new limit: their tasks end, or are stopped, first",
+		},
+		allotments: allotments.map(({ node, incarnation, amount, reclaiming, reason }) => ({
+			node,
+			process: incarnation,
+			amount: shownAmount(amount),
+			reclaiming: shownAmount(reclaiming),
+			reason,
+		})),
+	};
+}
+
+export interface ShownQuotas {
+	teams: ShownTeam[];
+	/** Records that cannot be read. */
+	faults: { key: string; team: string; fault: string }[];
+}
+
+/** All teams, or the one that is named. */
+export async function showQuotas(store: QuotaStore, prefix: string, team?: string): Promise<ShownQuotas> {
+	const shown: ShownQuotas = { teams: [], faults: [] };
+	for (const { key, value } of await store.rows(prefix)) {
+		const { records, faults } = unpackValue(value);
+		for (const record of records.values())
+			if (team === undefined || record.team === team) shown.teams.push(shownTeam(record));
+		shown.faults.push(...faults.map((fault) => ({ key, ...fault })));
+	}
+	shown.teams.sort((a, b) => (a.team < b.team ? -1 : 1));
+	if (team !== undefined && shown.teams.length === 0) throw unknown(team);
+	return shown;
+}
+
+function unknown(team: string): UnknownTeamError {
+	return new UnknownTeamError(`there is no record of team "${team}": is team quota switched on?`);
+}
+
+interface FoundRecord {
+	row: QuotaRow;
+	records: Map<string, QuotaRecord>;
+	record: QuotaRecord;
+	/** What other teams are guaranteed. */
+	others: Amount;
+}
+
+async function find(store: QuotaStore, prefix: string, team: string): Promise<FoundRecord> {
+	let found: Omit<FoundRecord, "others"> | null = null;
+	let others = nothing;
+	for (const row of await store.rows(prefix)) {
+		const { records, faults } = unpackValue(row.value);
+		const record = records.get(team);
+		if (record && faults.length > 0)
+			throw new LimitChangeError(`"${row.key}" holds records that cannot be read: ${faults[0]?.fault}`);
+		if (record) found = { row, records, record };
+		for (const other of records.values())
+			if (other.team !== team) others = plus(others, (other.pending ?? other.inForce).guarantee);
+	}
+	if (!found) throw unknown(team);
+	return { ...found, others };
+}
+
+/** Changes a team's limit or guarantee; what the record says afterwards. */
+export async function setQuota(
+	store: QuotaStore,
+	prefix: string,
+	team: string,
+	request: LimitRequest,
+	date: number,
+	capacity: Amount | null = null,
+): Promise<ShownTeam> {
+	for (let tries = 0; tries < mostTries; tries++) {
+		const { row, records, record, others } = await find(store, prefix, team);
+		const next = changeLimit(record, request, date, others, capacity);
+		records.set(team, next);
+		const result = await store.transact(
+			[{ key: row.key, revision: row.revision }],
+			[{ key: row.key, value: packValue(records.values()) }],
+		);
+		if (result.kind === "written") return shownTeam(next);
+	}
+	throw new ContendedError("the records were changed by others again and again; try again");
+}
--- /dev/null
+++ b/packages/team-quota/src/manager.ts
@@ -0,0 +1,425 @@
+import { type Amount, isNothing, minus, nothing, plus, same, within } from "./amount.js";
+import { type Charge, ChargeBook } from "./charges.js";
+import { clockDrift } from "./holder.js";
+import { HolderRegistry } from "./holder-registry.js";
+import { type Allotment, allotmentOf, capOf, type LimitTerms, type QuotaRecord } from "./record.js";
+import { excess, firstRecord, type HolderView, stepRecord } from "./record-step.js";
+import type { QuotaStore, QuotaWriteResult, StoredCondition, StoredValues } from "./stored-values.js";
+import type { HolderReply, QuotaTerms, TeamTerms } from "./terms.js";
+
+export interface QuotaLog {
+	info(fields: object, message: string): void;
+	error(fields: object, message: string): void;
+}
+
+export interface ManagerOptions {
+	/** The leader's node, which holds allotments like any other, and its process. */
+	node: string;
+	incarnation: string;
+	/** Every node of the cluster. */
+	nodes: readonly string[];
+	/** The platform's settings, by team. */
+	settings: ReadonlyMap<string, LimitTerms>;
+	/** Holds as long as this process leads: a condition of every write. */
+	leaderCondition: StoredCondition;
+	values: StoredValues;
+	store: QuotaStore;
+	/** Steady time, and the time of day, in milliseconds. */
+	now(): number;
+	date(): number;
+	/** Back into the queue of the process that owns all this. */
+	post(command: () => void): void;
+	log: QuotaLog;
+	expiryMs: number;
+	marginMs: number;
+	silentMs: number;
+	/** Least time between moves of one team's allotment. */
+	movePauseMs: number;
+	/** Most values that one transaction may change. */
+	mostChanges: number;
+}
+
+const writeEveryMs = 100;
+const retryMs = 300;
+
+/**
+ * The leader's side: divides each team's limit among the controllers by compare-and-set in the state
+ * service, and keeps the book of what runs against whose allotment. Nothing is given to anybody before
+ * the store has confirmed that it is nobody else's.
+ */
+export class AllotmentManager {
+	readonly charges: ChargeBook;
+	private readonly registry: HolderRegistry;
+	private readonly beganAt: number;
+	/** Tasks of earlier leaders are all known and charged. */
+	private started = false;
+	private ended = false;
+	private writing = false;
+	private nextWrite = Number.NEGATIVE_INFINITY;
+	/** Teams whose records may have to change. */
+	private readonly due = new Set<string>();
+	/**
+	 * By team: nodes whose allotment is being taken from a process judged to be lost. That one may be
+	 * heard again while the write is on its way, and the write may be carried out late: until the stored
+	 * record has changed the node may admit nothing, whatever it is heard to say.
+	 */
+	private readonly revoking = new Map<string, Set<string>>();
+	/** The holders heard at the last look. */
+	private heardBefore = "";
+	private readonly wanted = new Map<string, Map<string, Amount>>();
+	private readonly preferred = new Map<string, string>();
+	private readonly movedAt = new Map<string, number>();
+
+	constructor(private readonly options: ManagerOptions) {
+		this.beganAt = options.now();
+		this.registry = new HolderRegistry({ ...options, beganAt: this.beganAt });
+		this.charges = new ChargeBook((team, node) => this.registry.changed(node, team, false));
+	}
+
+	end(): void {
+		this.ended = true;
+	}
+
+	/** What earlier leaders started is known and charged: from here on allotments count. */
+	start(): void {
+		if (this.started) return;
+		this.started = true;
+		for (const team of this.options.settings.keys()) this.termsChanged(team);
+		this.allDue();
+	}
+
+	private allDue(): void {
+		for (const team of this.options.settings.keys()) this.due.add(team);
+	}
+
+	// --- holders ---
+
+	/** A reply of a holder. True: the batch of admissions that came with it counts. */
+	heard(node: string, reply: HolderReply): boolean {
+		const before = this.registry.incarnation(node);
+		const { batchCounts } = this.registry.heard(node, reply, this.options.now());
+		const present = this.registry.incarnation(node);
+		if (present !== undefined && present !== before) this.processChanged(node, present);
+		for (const { team, amount } of reply.wanted ?? []) this.want(node, team, amount);
+		return batchCounts && this.started;
+	}
+
+	/** A process that confirms is the node's present one: whatever held allotments before it has ended. */
+	private processChanged(node: string, present: string): void {
+		for (const team of this.options.settings.keys()) {
+			this.registry.changed(node, team, true);
+			const held = this.allotmentAt(node, team);
+			if (held && held.incarnation !== present) this.registry.noteEnded(held.incarnation);
+		}
+		this.allDue();
+	}
+
+	/** What the node's holder is to be told now; null: nothing has been heard of it. */
+	termsFor(node: string): QuotaTerms | null {
+		// Before the start holders only learn who leads, and this process who they are.
+		return this.registry.termsFor(node, this.started, (team) => this.teamTerms(node, team));
+	}
+
+	private teamTerms(node: string, team: string): TeamTerms {
+		const record = this.recordOf(team);
+		const charged = this.charges.of(team, node);
+		const limit = (record?.inForce ?? this.options.settings.get(team))?.limit ?? nothing;
+		const free = minus(limit, this.charges.total(team));
+		return { team, cap: plus(charged, this.roomAt(node, team)), charged, free };
+	}
+
+	private termsChanged(team: string): void {
+		for (const node of this.options.nodes) this.registry.changed(node, team, true);
+	}
+
+	// --- what waits, and where it may be admitted ---
+
+	/** So much of the team's work, with what runs there, would be admitted at the node if it could be. */
+	want(node: string, team: string, amount: Amount): void {
+		let nodes = this.wanted.get(team);
+		if (!nodes) {
+			nodes = new Map();
+			this.wanted.set(team, nodes);
+		}
+		const before = nodes.get(node) ?? nothing;
+		if (same(before, amount)) return;
+		nodes.set(node, amount);
+		this.due.add(team);
+	}
+
+	/** The controller that is to hold what nobody else asks for. */
+	prefer(node: string, team: string): void {
+		if (this.preferred.get(team) === node) return;
+		this.preferred.set(team, node);
+		this.due.add(team);
+	}
+
+	/** Whether the node may be given work of the team: it is heard and holds an allotment with room. */
+	hasRoom(node: string, team: string, size: Amount): boolean {
+		const { options } = this;
+		if (node !== options.node && !this.registry.usable(node, options.now())) return false;
+		return within(size, this.roomAt(node, team));
+	}
+
+	/**
+	 * What the node's holder may still admit. Who admitted the tasks that a new leader finds is not
+	 * known, so two things may be wrong with their charges, and as much is left unused for a while by
+	 * everybody. A holder may be charged with more than it has, until allotments have followed. And
+	 * what a holder is charged with that has not confirmed this term may be another's: it goes by what
+	 * it knew of the term before, and may have the whole of its allotment in use.
+	 */
+	private roomAt(node: string, team: string): Amount {
+		const allotment = this.allotmentAt(node, team);
+		if (!allotment || allotment.incarnation !== this.incarnationOf(node)) return nothing;
+		if (this.revoking.get(team)?.has(node)) return nothing;
+		const room = minus(capOf(allotment), this.charges.of(team, node));
+		return minus(room, this.doubtful(team));
+	}
+
+	private doubtful(team: string): Amount {
+		let doubtful = nothing;
+		for (const node of this.options.nodes) {
+			const known = this.incarnationOf(node) !== undefined;
+			const sure = known ? (this.allotmentAt(node, team)?.amount ?? nothing) : nothing;
+			doubtful = plus(doubtful, minus(this.charges.of(team, node), sure));
+		}
+		return doubtful;
+	}
+
+	private allotmentAt(node: string, team: string): Allotment | undefined {
+		const record = this.recordOf(team);
+		return record && allotmentOf(record, node);
+	}
+
+	private incarnationOf(node: string): string | undefined {
+		return node === this.options.node ? this.options.incarnation : this.registry.incarnation(node);
+	}
+
+	// --- admissions ---
+
+	/** Whether a task that the node's holder has admitted, or this process admits now, may start. */
+	mayStart(node: string, team: string, size: Amount): boolean {
+		if (!this.started) return false;
+		if (node === this.options.node) return this.hasRoom(node, team, size);
+		const allotment = this.allotmentAt(node, team);
+		if (!allotment || allotment.incarnation !== this.registry.incarnation(node)) return false;
+		if (this.revoking.get(team)?.has(node)) return false;
+		return within(plus(this.charges.of(team, node), size), allotment.amount);
+	}
+
+	/** A task that was found running: it counts where there is most room for it. */
+	chargeFound(team: string, size: Amount): Charge {
+		return this.charges.add(team, this.roomiest(team, size), size);
+	}
+
+	private roomiest(team: string, size: Amount): string {
+		const record = this.recordOf(team);
+		let best = this.options.node;
+		let most = -1;
+		for (const { node, amount } of record?.allotments ?? []) {
+			const room = minus(amount, this.charges.of(team, node));
+			const part = size.cpus > 0 ? room.cpus : room.gpus;
+			if (part > most) [best, most] = [node, part];
+		}
+		return best;
+	}
+
+	// --- limits ---
+
+	private recordOf(team: string): QuotaRecord | undefined {
+		return this.options.values.record(team);
+	}
+
+	/** What the team uses beyond a lower limit that is pending. */
+	excess(team: string): Amount {
+		const record = this.recordOf(team);
+		return record ? excess(record, this.charges.total(team)) : nothing;
+	}
+
+	/** A stored value has changed, by this process or another. */
+	stored(teams: readonly string[]): void {
+		for (const team of teams) {
+			this.revoking.delete(team);
+			this.termsChanged(team);
+			if (this.options.settings.has(team)) this.due.add(team);
+		}
+	}
+
+	// --- time ---
+
+	/** Called often, with authority. */
+	tick(): void {
+		const now = this.options.now();
+		if (!this.started || this.writing || now < this.nextWrite || this.waitsForUnreadable(now)) return;
+		this.nextWrite = now + writeEveryMs;
+		this.noticeHolders(now);
+		const next: QuotaRecord[] = [];
+		for (const team of [...this.due]) {
+			const record = this.nextRecord(team, this.options.settings.get(team) as LimitTerms, now);
+			if (record !== this.recordOf(team)) next.push(record);
+			else if (this.settled(team, record, now)) this.due.delete(team);
+		}
+		if (next.length > 0) this.write(next, now);
+	}
+
+	private noticeHolders(now: number): void {
+		const heard = this.options.nodes.filter((node) => this.registry.usable(node, now)).join();
+		if (heard !== this.heardBefore) this.allDue();
+		this.heardBefore = heard;
+	}
+
+	/** Nothing of the team's will change by time alone. */
+	private settled(team: string, record: QuotaRecord, now: number): boolean {
+		if (record.pending || this.paused(team, now)) return false;
+		return record.allotments.every(
+			({ node, reclaiming }) =>
+				isNothing(reclaiming) && (node === this.options.node || this.registry.usable(node, now)),
+		);
+	}
+
+	private paused(team: string, now: number): boolean {
+		return now - (this.movedAt.get(team) ?? Number.NEGATIVE_INFINITY) < this.options.movePauseMs;
+	}
+
+	/** What cannot be read may name allotments: nobody has any once those of earlier leaders have run out. */
+	private waitsForUnreadable(now: number): boolean {
+		const { values, expiryMs, marginMs } = this.options;
+		return values.unreadable && now <= this.beganAt + expiryMs * (1 + 2 * clockDrift) + marginMs;
+	}
+
+	private nextRecord(team: string, settings: LimitTerms, now: number): QuotaRecord {
+		const record = this.recordOf(team) ?? firstRecord(team, settings);
+		const lost = this.lostHolders(team, record, now);
+		const holders = this.holderViews(team, record, now);
+		const heir = holders[0]?.node ?? this.options.node;
+		for (const node of lost) if (!this.registry.usable(node, now)) this.charges.moveAll(team, node, heir);
+		return stepRecord({
+			record,
+			settings,
+			holders: lost.size > 0 ? this.holderViews(team, record, now) : holders,
+			lost,
+			mayMove: !this.paused(team, now),
+			date: this.options.date(),
+		});
+	}
+
+	private lostHolders(team: string, record: QuotaRecord, now: number): Set<string> {
+		const { node: self, incarnation: own } = this.options;
+		const lost = this.revoking.get(team) ?? new Set();
+		for (const { node, incarnation } of record.allotments) {
+			const gone = node === self ? incarnation !== own : this.registry.lost(node, incarnation, now);
+			if (!gone || lost.has(node)) continue;
+			lost.add(node);
+			this.registry.changed(node, team, true);
+		}
+		if (lost.size > 0) this.revoking.set(team, lost);
+		return lost;
+	}
+
+	/** Those that are heard, the preferred one first. */
+	private holderViews(team: string, record: QuotaRecord, now: number): HolderView[] {
+		const { node: self, nodes } = this.options;
+		const first = this.preferred.get(team) ?? self;
+		const views: HolderView[] = [];
+		for (const node of nodes) {
+			const incarnation = this.incarnationOf(node);
+			if (incarnation === undefined || (node !== self && !this.registry.usable(node, now))) continue;
+			const held = allotmentOf(record, node);
+			const view = {
+				node,
+				incarnation,
+				knowsCap: node === self || (held !== undefined && this.registry.knowsCap(node, team)),
+				used: this.charges.of(team, node),
+				wanted: this.wanted.get(team)?.get(node) ?? nothing,
+			};
+			if (node === first) views.unshift(view);
+			else views.push(view);
+		}
+		return views;
+	}
+
+	// --- writing ---
+
+	private write(records: QuotaRecord[], now: number): void {
+		const { values, mostChanges, leaderCondition, store, post } = this.options;
+		const writes = values.changesFor(records).slice(0, Math.max(1, mostChanges));
+		const changes = writes.map(({ change }) => change);
+		const conditions = [leaderCondition, ...writes.map(({ condition }) => condition)];
+		this.writing = true;
+		store.transact(conditions, changes).then(
+			(result) => post(() => this.answered(changes, result, now)),
+			(error) => post(() => this.uncertain(changes, error)),
+		);
+	}
+
+	private answered(changes: { key: string; value: unknown }[], result: QuotaWriteResult, at: number): void {
+		this.writing = false;
+		if (this.ended) return;
+		if (result.kind === "conflict") {
+			this.readBack(result.keys.filter((key) => key !== this.options.leaderCondition.key));
+			return;
+		}
+		for (const { key, value } of changes) this.learn(key, value, result.revision, at);
+	}
+
+	private learn(key: string, value: unknown, revision: number, at: number): void {
+		const { values } = this.options;
+		const before = new Map([...values.teams].map((team) => [team, values.record(team)]));
+		const teams = values.learn(key, value, revision);
+		this.stored(teams);
+		for (const team of teams) this.logChange(team, before.get(team), values.record(team), at);
+	}
+
+	/** Each recall, loss and change of limit once, with its reason. */
+	private logChange(
+		team: string,
+		before: QuotaRecord | undefined,
+		after: QuotaRecord | undefined,
+		at: number,
+	) {
+		const { log } = this.options;
+		if (!before || !after) return;
+		if (before.revision !== after.revision)
+			log.info({ team, revision: after.revision, limit: after.inForce.limit }, "team limit in force");
+		for (const { node, amount, reclaiming, reason } of after.allotments) {
+			const old = allotmentOf(before, node);
+			if (reason !== null && old?.reason !== reason)
+				log.info({ team, holder: node, amount, reclaiming, reason }, "allotment recalled");
+			if (old && amount.cpus !== old.amount.cpus) this.movedAt.set(team, at);
+		}
+		for (const { node, incarnation, amount } of before.allotments) {
+			const now = allotmentOf(after, node);
+			if (!now || now.incarnation !== incarnation)
+				log.info(
+					{ team, holder: node, amount },
+					now ? "allotment of an ended process" : "allotment given up",
+				);
+		}
+	}
+
+	/** It may have been carried out, or still be: the conditions keep it from undoing anything later. */
+	private uncertain(changes: { key: string }[], error: unknown): void {
+		this.writing = false;
+		this.nextWrite = this.options.now() + retryMs;
+		this.options.log.info({ err: String(error) }, "allotments not written");
+		if (!this.ended) this.readBack(changes.map(({ key }) => key));
+	}
+
+	private readBack(keys: string[]): void {
+		const { store, post } = this.options;
+		this.writing = true;
+		Promise.all(keys.map(async (key) => ({ key, row: await store.read(key) }))).then(
+			(found) =>
+				post(() => {
+					this.writing = false;
+					const now = this.options.now();
+					for (const { key, row } of found) if (row) this.learn(key, row.value, row.revision, now);
+				}),
+			() =>
+				post(() => {
+					this.writing = false;
+					this.nextWrite = this.options.now() + retryMs;
+				}),
+		);
+	}
+}
--- /dev/null
+++ b/packages/team-quota/src/record-step.ts
@@ -0,0 +1,112 @@
+import { type Amount, minus, nothing, sum } from "./amount.js";
+import { anyShort, type HolderNeeds, planAllotments } from "./planner.js";
+import {
+	allot,
+	allotmentOf,
+	allotted,
+	capOf,
+	ceiling,
+	enforcePending,
+	type LimitTerms,
+	newRecord,
+	type QuotaRecord,
+	type RecallReason,
+	recall,
+	requestLimit,
+	revoke,
+	sameTerms,
+	settleRecall,
+} from "./record.js";
+
+/** A controller that may hold a part of the team's limit. The first of several is the preferred one. */
+export interface HolderView {
+	node: string;
+	incarnation: string;
+	/** It has confirmed what it may admit against now. */
+	knowsCap: boolean;
+	used: Amount;
+	wanted: Amount;
+}
+
+export interface StepInput {
+	record: QuotaRecord;
+	/** The platform's present settings for the team. */
+	settings: LimitTerms;
+	/** Controllers that are heard. */
+	holders: readonly HolderView[];
+	/** Nodes whose allotment is of a process that can no longer admit anything. */
+	lost: ReadonlySet<string>;
+	/** Whether allotments may move between live holders now. */
+	mayMove: boolean;
+	/** Time of day in milliseconds, for operators. */
+	date: number;
+}
+
+/** The record as it should be next, by what is known of the holders. The same again: nothing to write. */
+export function stepRecord(input: StepInput): QuotaRecord {
+	let { record } = input;
+	record = takeOverSettings(record, input.settings, input.date);
+	for (const node of input.lost) record = revoke(record, node);
+	for (const { node, knowsCap, used } of input.holders)
+		if (knowsCap) record = settleRecall(record, node, used);
+	record = enforcePending(record);
+	return divide(record, input);
+}
+
+/** A team that has no record yet. */
+export function firstRecord(team: string, settings: LimitTerms): QuotaRecord {
+	return newRecord(team, settings);
+}
+
+function takeOverSettings(record: QuotaRecord, settings: LimitTerms, date: number): QuotaRecord {
+	if (sameTerms(record.settings, settings)) return record;
+	return { ...requestLimit(record, settings, date), settings };
+}
+
+function divide(record: QuotaRecord, { holders, mayMove }: StepInput): QuotaRecord {
+	if (holders.length === 0) return record;
+	const needs = holders.map(({ node, used, wanted }): HolderNeeds => {
+		const held = capOf(allotmentOf(record, node));
+		return { node, held, used, wanted };
+	});
+	const here = new Set(holders.map(({ node }) => node));
+	const away = sum(record.allotments.filter(({ node }) => !here.has(node)).map(({ amount }) => amount));
+	const plan = planAllotments(minus(ceiling(record), away), needs);
+	let next = record;
+	const over = minus(allotted(record), ceiling(record));
+	const lowered = over.cpus > 0 || over.gpus > 0;
+	if (lowered || (mayMove && anyShort(needs, plan)))
+		next = recallTo(next, plan, lowered ? "limit lowered" : "wanted elsewhere");
+	return allotTo(next, holders, plan);
+}
+
+/** Each keeps its part of the plan, or what it may admit against now where that is less. */
+function recallTo(record: QuotaRecord, plan: ReadonlyMap<string, Amount>, reason: RecallReason): QuotaRecord {
+	let next = record;
+	for (const [node, target] of plan) next = recall(next, node, target, reason);
+	return next;
+}
+
+function allotTo(
+	record: QuotaRecord,
+	holders: readonly HolderView[],
+	plan: ReadonlyMap<string, Amount>,
+): QuotaRecord {
+	let next = record;
+	for (const { node, incarnation } of holders) {
+		const amount = allotmentOf(next, node)?.amount ?? nothing;
+		next = allot(next, node, incarnation, minus(plan.get(node) ?? nothing, amount));
+	}
+	return next;
+}
+
+/** What the team may use for now: no more than a lower limit that is pending. */
+export function usableTerms(record: QuotaRecord): LimitTerms {
+	const { guarantee } = record.pending ?? record.inForce;
+	return { limit: ceiling(record), guarantee };
+}
+
+/** What the team uses beyond a lower limit that is pending. */
+export function excess(record: QuotaRecord, used: Amount): Amount {
+	return record.pending ? minus(used, record.pending.limit) : nothing;
+}
--- /dev/null
+++ b/packages/team-quota/tests/record.test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { demandAmount, limitAmount, nothing, unlimited } from "../src/amount.js";
+import { changeLimit, LimitChangeError } from "../src/limit-change.js";
+import { packValue, unpackValue } from "../src/packed-record.js";
+import {
+	allot,
+	allotmentOf,
+	capOf,
+	enforcePending,
+	newRecord,
+	parseRecord,
+	QuotaInvariantError,
+	recall,
+	requestLimit,
+	revoke,
+	settleRecall,
+	unallotted,
+} from "../src/record.js";
+
+const settings = { limit: limitAmount(4, 0), guarantee: limitAmount(2, 0) };
+const cpus = (units: number) => limitAmount(units, 0);
+
+function divided() {
+	return allot(allot(newRecord("red", settings), "a", "p1", cpus(3)), "b", "p2", cpus(3));
+}
+
+test("no more is allotted than the limit has left", () => {
+	const record = divided();
+	assert.deepEqual(allotmentOf(record, "a")?.amount, cpus(3));
+	assert.deepEqual(allotmentOf(record, "b")?.amount, cpus(1));
+	assert.deepEqual(unallotted(record), nothing);
+});
+
+test("what is recalled is free only once the holder knows and no longer uses it", () => {
+	const recalled = recall(divided(), "a", cpus(1), "wanted elsewhere");
+	assert.deepEqual(capOf(allotmentOf(recalled, "a")), cpus(1));
+	assert.deepEqual(unallotted(recalled), nothing);
+	const inUse = settleRecall(recalled, "a", cpus(2));
+	assert.deepEqual([allotmentOf(inUse, "a")?.amount, unallotted(inUse)], [cpus(2), cpus(1)]);
+	const over = settleRecall(inUse, "a", cpus(0));
+	assert.deepEqual([allotmentOf(over, "a")?.amount, allotmentOf(over, "a")?.reason], [cpus(1), null]);
+	assert.deepEqual(unallotted(revoke(over, "a")), cpus(3));
+});
+
+test("a higher limit holds at once, a lower one once everything allotted is within it", () => {
+	const higher = requestLimit(divided(), { limit: cpus(9), guarantee: cpus(2) }, 1);
+	assert.deepEqual([higher.inForce.limit, higher.pending, higher.revision], [cpus(9), null, 2]);
+	const lower = requestLimit(divided(), { limit: cpus(2), guarantee: cpus(1) }, 1);
+	assert.deepEqual([lower.inForce.limit, lower.pending?.revision], [cpus(4), 2]);
+	assert.deepEqual(allot(lower, "b", "p2", cpus(1)), lower, "nothing more is given out meanwhile");
+	const again = requestLimit(lower, { limit: cpus(3), guarantee: cpus(1) }, 2);
+	assert.equal(again.pending?.revision, 3, "the later of two changes counts");
+	const settled = settleRecall(recall(again, "a", cpus(2), "limit lowered"), "a", nothing);
+	const inForce = enforcePending(settled);
+	assert.deepEqual([inForce.inForce.limit, inForce.revision, inForce.pending], [cpus(3), 3, null]);
+});
+
+test("changes that cannot be are refused with the reason", () => {
+	const none = nothing;
+	const refused = (request: object, reason: RegExp, capacity = cpus(100), others = none) =>
+		assert.throws(() => changeLimit(divided(), request, 0, others, capacity), {
+			name: "Error",
+			message: reason,
+			constructor: LimitChangeError,
+		});
+	refused({ guaranteedCpus: 5 }, /guarantee must not exceed the limit/);
+	refused({ cpus: 200, guaranteedCpus: 150 }, /exceed the capacity/);
+	refused({ cpus: 90, guaranteedCpus: 50 }, /exceed the capacity/, cpus(100), cpus(60));
+	refused({ cpus: -1 }, /"cpus" must be/);
+	refused({ gpus: Number.NaN }, /"gpus" must be/);
+	assert.equal(changeLimit(divided(), { cpus: Infinity }, 0, none, null).inForce.limit.cpus, unlimited);
+});
+
+test("records are kept in rows of numbers and read back the same; a bad one hides no other", () => {
+	const record = requestLimit(
+		recall(divided(), "a", cpus(1), "another placer"),
+		{ limit: cpus(1), guarantee: cpus(1) },
+		5,
+	);
+	const value = JSON.parse(JSON.stringify(packValue([record, newRecord("blue", settings)])));
+	value.teams.bad = { ...value.teams.red, allotments: [["a", "p", -1, 0, 0, 0, 0]] };
+	value.teams.huge = { ...value.teams.red, allotments: [["a", "p", 2 ** 60, 0, 0, 0, 0]] };
+	value.teams.over = { ...value.teams.red, allotments: [["a", "p", 9000, 0, 0, 0, 0]] };
+	value.teams.odd = { revision: 1 };
+	const { records, faults } = unpackValue(value);
+	assert.deepEqual(records.get("red"), record);
+	assert.deepEqual([...records.keys()], ["red", "blue"]);
+	assert.deepEqual(
+		faults.map(({ team, fault }) => [team, fault.includes('field "')]),
+		[
+			["bad", true],
+			["huge", true],
+			["over", true],
+			["odd", true],
+		],
+	);
+	assert.deepEqual(unpackValue(17).faults.length, 1);
+});
+
+test("a record that allows more than the limit is refused by its field", () => {
+	const record = divided();
+	const twice = { ...record, allotments: [...record.allotments, ...record.allotments] };
+	assert.throws(() => parseRecord(twice), /"a" is named twice/);
+	const more = { ...record, inForce: { ...record.inForce, limit: cpus(3.5) } };
+	assert.throws(() => parseRecord(more), QuotaInvariantError);
+	assert.throws(
+		() => parseRecord({ ...record, inForce: { limit: cpus(4), guarantee: cpus(5) } }),
+		/guarantee/,
+	);
+});
+
+test("sizes that are not whole thousandths count for more, limits for less", () => {
+	assert.deepEqual(demandAmount(0.1 + 0.2, 0.0001), { cpus: 300, gpus: 1 });
+	assert.deepEqual(limitAmount(0.3, 0.0019), { cpus: 300, gpus: 1 });
+});
--- a/src/bookkeeping/jobs.ts
+++ b/src/bookkeeping/jobs.ts
@@ -1,5 +1,6 @@
 import { isStanding, type JobSpec, type MachineType, priorityRank } from "../protocol/model.js";
 import type { Machine } from "./machines.js";
+import type { TeamCharge } from "./quotas.js";
 import { TaskSet } from "./task-set.js";
 
 export type AttemptPhase = "assigned" | "sent" | "fetching" | "running" | "saving";
@@ -17,6 +18,8 @@
 	runningAt: number | null;
 	/** A stop was decided; it is repeated until the attempt is over. */
 	stop: { graceS: number; why: string } | null;
+	/** What it takes of its team's allotments; null: none are used. */
+	charge: TeamCharge | null;
 	/** Steady time before which it is not stopped for other work: its job had to wait for too long to begin. */
 	keptUntil?: number;
 }
--- a/src/bookkeeping/machines.ts
+++ b/src/bookkeeping/machines.ts
@@ -1,11 +1,14 @@
 import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
 import type { Attempt, Job } from "./jobs.js";
+import type { TeamCharge } from "./quotas.js";
 
 export interface UnwantedTask {
 	job: string;
 	index: number;
 	attempt: number;
 	demand: Demand | null;
+	/** What it takes of its team's allotments; null: not known, or no allotments are used. */
+	charge: TeamCharge | null;
 }
 
 /** A rented machine as its leader sees it. */
--- a/src/bookkeeping/quotas.ts
+++ b/src/bookkeeping/quotas.ts
@@ -1,3 +1,11 @@
+/** A task's part of its team's limit, and the controller whose allotment it comes from for now. */
+export interface TeamCharge {
+	readonly team: string;
+	node: string;
+	/** In thousandths. */
+	readonly amount: { readonly cpus: number; readonly gpus: number };
+}
+
 export interface TeamLimits {
 	name: string;
 	cpus: number;
@@ -25,6 +33,11 @@
 		for (const team of teams) this.limits.set(team.name, team);
 	}
 
+	/** A limit has changed; a team that the platform does not name has none. */
+	setLimits(limits: TeamLimits): void {
+		if (this.limits.has(limits.name)) this.limits.set(limits.name, limits);
+	}
+
 	team(name: string): TeamLimits | undefined {
 		return this.limits.get(name);
 	}
--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -29,6 +29,8 @@
 	/** Machines that may hold tasks, many to a value. */
 	machines: "r/machs/",
 	finals: "r/fin/",
+	/** Team quota's records, many to a value, read and written by its package. */
+	quota: "r/quota/",
 	job: (id: string) => `r/job/${id}`,
 	final: (id: string) => `r/fin/${id}`,
 } as const;
@@ -82,6 +84,8 @@
 /** Features that every controller has said it supports, so that they may be used. */
 export interface FeaturesRecord {
 	standing?: boolean | undefined;
+	/** Team quota; once it is here, leaders divide limits from the beginning of their terms. */
+	quota?: boolean | undefined;
 }
 
 export interface TypesRecord {
@@ -97,6 +101,8 @@
 	| { kind: "leader"; value: LeaderRecord }
 	| { kind: "features"; value: FeaturesRecord }
 	| { kind: "types"; value: TypesRecord }
+	/** As it is: the package checks it. */
+	| { kind: "quota"; value: unknown }
 	/** Of another version: nothing that this one reads. */
 	| { kind: "other" };
 
@@ -146,7 +152,10 @@
 const ProgressSchema = v.looseObject({ entries: v.record(v.string(), v.string()) });
 const MachinesSchema = v.looseObject({ entries: v.record(v.string(), MachineSchema) });
 const LeaderSchema = v.looseObject({ node: v.string(), incarnation: v.string() });
-const FeaturesSchema = v.looseObject({ standing: v.optional(v.boolean()) });
+const FeaturesSchema = v.looseObject({
+	standing: v.optional(v.boolean()),
+	quota: v.optional(v.boolean()),
+});
 
 const TypeSchema = v.looseObject({
 	name,
@@ -180,6 +189,7 @@
 	}
 	if (key.startsWith(keys.progress)) return { kind: "progress", value: checkShape(ProgressSchema, value) };
 	if (key.startsWith(keys.machines)) return { kind: "machines", value: checkShape(MachinesSchema, value) };
+	if (key.startsWith(keys.quota)) return { kind: "quota", value };
 	if (key === keys.leader) return { kind: "leader", value: checkShape(LeaderSchema, value) };
 	if (key === keys.features) return { kind: "features", value: checkShape(FeaturesSchema, value) };
 	if (key === keys.types) return { kind: "types", value: checkShape(TypesSchema, value) };
--- a/src/bookkeeping/store-copy.ts
+++ b/src/bookkeeping/store-copy.ts
@@ -59,6 +59,8 @@
 	/** Shared values by their keys. */
 	readonly progress = new Map<string, Versioned<SharedRecord<string>>>();
 	readonly machines = new Map<string, Versioned<SharedRecord<MachineRecord>>>();
+	/** Team quota's values as they are; undefined: gone. */
+	readonly quota = new Map<string, Versioned<unknown>>();
 	/** Pages of done-sets by job, as the values of `progress` have them. */
 	private readonly pages = new Map<string, Map<number, string>>();
 	/** The latest terminal records seen; older ones are read from the store when asked for. */
@@ -92,6 +94,7 @@
 
 	reset(rows: StoreRow[], revision: number): void {
 		const before = [...this.jobs.keys()];
+		const quotaBefore = [...this.quota.keys()];
 		this.jobs.clear();
 		this.progress.clear();
 		this.pages.clear();
@@ -106,6 +109,7 @@
 		this.revision = revision;
 		this.loaded = true;
 		this.cancelledAfter = Math.min(this.cancelledAfter, revision);
+		for (const key of quotaBefore) if (!rows.some((row) => row.key === key)) this.remove(key, revision);
 		for (const row of rows) this.notify(row.key);
 		for (const id of before) if (!this.jobs.has(id)) this.notify(keys.job(id));
 	}
@@ -178,6 +182,9 @@
 			case "leader":
 				if (newer(this.leader)) this.leader = { value: record.value, revision };
 				break;
+			case "quota":
+				if (newer(this.quota.get(key))) this.quota.set(key, { value: record.value, revision });
+				break;
 			case "features":
 				this.features = record.value;
 				break;
@@ -200,6 +207,8 @@
 			this.index(old?.value, { entries: {} });
 		} else if (key.startsWith(keys.machines)) {
 			if (older(this.machines.get(key))) this.machines.delete(key);
+		} else if (key.startsWith(keys.quota)) {
+			if (older(this.quota.get(key))) this.quota.set(key, { value: undefined, revision });
 		} else if (key === keys.leader) {
 			if (older(this.leader)) this.leader = null;
 		} else if (key === keys.features) {
--- a/src/coordination/cluster-state.ts
+++ b/src/coordination/cluster-state.ts
@@ -6,6 +6,7 @@
 import { tasksPerPage } from "../bookkeeping/task-set.js";
 import type { Demand, JobSpec, MachineType } from "../protocol/model.js";
 import { zoneRoom } from "./placing.js";
+import type { AdmissionControl } from "./ports.js";
 
 /** Attempts of one epoch; beyond them the leader must get itself a new epoch. */
 export const attemptsPerTerm = 2 ** 22;
@@ -29,6 +30,8 @@
 	private readonly unconfirmed = new Set<Machine>();
 	/** Machines for which starts were decided apart from placing. */
 	readonly relocatedTo = new Set<Machine>();
+	/** Beside the leader's own check of limits; null: that alone. */
+	private admission: AdmissionControl | null = null;
 	/** Machines with tasks of jobs of which nothing is known, and how many. */
 	private readonly unknownDemands = new Map<Machine, number>();
 
@@ -56,19 +59,34 @@
 		return this.unconfirmed.size === 0 && this.unknownDemands.size === 0;
 	}
 
+	/** From now on a task needs an allotment to start; those that may run already are charged to some. */
+	useAdmission(admission: AdmissionControl): void {
+		this.admission = admission;
+		for (const machine of this.machines.values()) {
+			for (const attempt of machine.attempts.values())
+				attempt.charge = admission.chargeFound(demandOf(attempt.job.spec));
+			for (const task of machine.unwanted) if (task.demand) task.charge = admission.chargeFound(task.demand);
+		}
+		this.placementDue = true;
+	}
+
 	/**
 	 * A task that nobody wants takes its team's cores until it is proved gone, such as one of a job
 	 * that was cancelled while nobody led. Of a job unknown here anything may be at its limit.
 	 */
-	addUnwanted(machine: Machine, task: Omit<UnwantedTask, "demand">): void {
+	addUnwanted(machine: Machine, task: Omit<UnwantedTask, "demand" | "charge">): void {
 		const spec = this.jobs.get(task.job)?.spec;
 		const demand = spec ? demandOf(spec) : this.demandOf(task.job);
-		machine.unwanted.push({ ...task, demand });
+		const charge = demand && this.admission ? this.admission.chargeFound(demand) : null;
+		machine.unwanted.push({ ...task, demand, charge });
 		this.count(machine, demand, 1);
 	}
 
 	clearUnwanted(machine: Machine): void {
-		for (const { demand } of machine.unwanted) this.count(machine, demand, -1);
+		for (const { demand, charge } of machine.unwanted) {
+			this.count(machine, demand, -1);
+			if (charge) this.admission?.release(charge);
+		}
 		machine.unwanted = [];
 	}
 
@@ -100,6 +118,7 @@
 				if (task.job !== job || task.demand !== null) continue;
 				this.count(machine, null, -1);
 				task.demand = demand;
+				task.charge = this.admission?.chargeFound(demand) ?? null;
 				this.count(machine, demand, 1);
 			}
 		}
@@ -161,15 +180,20 @@
 		return job.waiting.length > 0 && job.notBefore <= now && this.quotas.fitsLimit(team, cpus, gpus);
 	}
 
-	private register(attempt: Attempt): void {
+	/** `admittedBy`: whose allotment it counts against; null: it was found, and nobody knows. */
+	private register(attempt: Attempt, admittedBy: string | null): void {
 		const { job, machine, index } = attempt;
+		const demand = demandOf(job.spec);
+		if (this.admission)
+			attempt.charge =
+				admittedBy === null ? this.admission.chargeFound(demand) : this.admission.charge(demand, admittedBy);
 		job.attempts.set(index, attempt);
 		machine.hold(taskKey(job.id, index), attempt);
 		this.quotas.add(job.spec.team, job.spec.cpus, job.spec.gpus);
 	}
 
 	/** Why one more task of the job may not start on the machine now, or null. */
-	refusal(job: Job, machine: Machine): string | null {
+	refusal(job: Job, machine: Machine, admittedBy = this.admission?.self ?? ""): string | null {
 		const { spec } = job;
 		if (!this.rebuilt) return "not rebuilt";
 		if (job.cancelled || job.ending) return "job is over";
@@ -183,12 +207,16 @@
 		if ((spec.oneZone || spec.spread) && zoneRoom(spec, this.zonesOf(job), machine.zone) < 1) {
 			return "zone rule";
 		}
+		if (this.admission && !this.admission.mayStart(demandOf(spec), admittedBy)) return "no allotment";
 		return null;
 	}
 
-	/** Decides to start the job's next waiting task on the machine, if every rule allows it. */
-	decide(job: Job, machine: Machine): Attempt | null {
-		if (job.waiting.length === 0 || this.refusal(job, machine) !== null) return null;
+	/**
+	 * Decides to start the job's next waiting task on the machine, if every rule allows it.
+	 * `admittedBy`: the controller that has admitted it, this one if not said.
+	 */
+	decide(job: Job, machine: Machine, admittedBy = this.admission?.self ?? ""): Attempt | null {
+		if (job.waiting.length === 0 || this.refusal(job, machine, admittedBy) !== null) return null;
 		let index = job.waiting.pop() as number;
 		while (job.done.has(index) || job.attempts.has(index)) {
 			const next = job.waiting.pop();
@@ -204,8 +232,9 @@
 			moveTo: null,
 			runningAt: null,
 			stop: null,
+			charge: null,
 		};
-		this.register(attempt);
+		this.register(attempt, admittedBy);
 		return attempt;
 	}
 
@@ -220,10 +249,11 @@
 			moveTo: null,
 			runningAt: null,
 			stop: null,
+			charge: null,
 		};
 		const at = job.waiting.indexOf(index);
 		if (at >= 0) job.waiting.splice(at, 1);
-		this.register(attempt);
+		this.register(attempt, null);
 		return attempt;
 	}
 
@@ -234,6 +264,8 @@
 		job.attempts.delete(index);
 		machine.release(taskKey(job.id, index), attempt);
 		this.quotas.remove(job.spec.team, job.spec.cpus, job.spec.gpus);
+		const admittedBy = attempt.charge?.node;
+		if (attempt.charge) this.admission?.release(attempt.charge);
 		if (!job.cancelled && !job.done.has(index)) job.waiting.push(index);
 		this.placementDue = true;
 		const to = attempt.moveTo;
@@ -241,7 +273,8 @@
 		to.reserve(job.spec, -1);
 		attempt.moveTo = null;
 		// It goes where room was kept for it, before anything else is placed.
-		if (!job.cancelled && this.decide(job, to)) this.relocatedTo.add(to);
+		// Its holder has not been told of the end: the place in the allotment is still the replica's.
+		if (!job.cancelled && this.decide(job, to, admittedBy)) this.relocatedTo.add(to);
 	}
 
 	/** The replica's next attempt is to be on the other machine; its end here is asked for first. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,5 +1,6 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { TeamLimits } from "../bookkeeping/quotas.js";
 import { keys } from "../bookkeeping/records.js";
 import { StoreCopy } from "../bookkeeping/store-copy.js";
 import type { Order, WorkerReport } from "../protocol/model.js";
@@ -21,8 +22,9 @@
 import { MachineTypeCatalog } from "./machine-type-catalog.js";
 import { PeerMessageReader } from "./peer-message-reader.js";
 import { redirectedMs } from "./peer-monitor.js";
+import { placeAdmitted } from "./place-admitted.js";
 import { placeFirstFit } from "./placing.js";
-import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import type { CloudPort, Log, PeerPort, StorePort, TeamQuotaPort, TimePort, WorkerPort } from "./ports.js";
 import { AnswerBatches, Relay } from "./relay.js";
 import { StallDetector } from "./stall-detector.js";
 import { StoreSync } from "./store-sync.js";
@@ -36,6 +38,8 @@
 	log: Log;
 	random: RandomGenerator;
 	schedule(run: () => void): void;
+	/** Team quota, made for this process; null: it is off. */
+	teamQuota?(post: (command: () => void) => void): TeamQuotaPort | null;
 }
 
 export type ReportResult =
@@ -69,6 +73,7 @@
 	private unexpectedToldAt = -Infinity;
 	private readonly reader: PeerMessageReader;
 	private readonly machineTypes: MachineTypeCatalog;
+	private readonly teamQuota: TeamQuotaPort | null;
 
 	constructor(
 		private readonly platform: PlatformSettings,
@@ -88,6 +93,7 @@
 			(key, error) => log.error({ key, err: error.message }, "malformed value in the state service"),
 			platform.cluster.state.write_rps,
 		);
+		this.teamQuota = ports.teamQuota?.(post) ?? null;
 		this.storeSync = new StoreSync(this.storeCopy, store, time, post, log);
 		this.relay = new Relay(ports.peers, time);
 		this.answers = new AnswerBatches(ports.peers, time);
@@ -128,7 +134,7 @@
 			this.storeSync,
 			store,
 			time,
-			new Map(platform.cluster.teams.map((team) => [team.name, team])),
+			(team) => this.limitsOf(team),
 			platform.cluster.zones,
 			platform.cluster.state.value_kb,
 			(command) => this.commands.ask(command),
@@ -154,6 +160,12 @@
 		this.commands.onBatchEnd(() => this.leader?.maybePlace());
 	}
 
+	/** Of a team that the platform names: what its record says, else the platform's settings. */
+	private limitsOf(team: string): TeamLimits | undefined {
+		const settings = this.platform.cluster.teams.find(({ name }) => name === team);
+		return settings && (this.teamQuota?.limits(team) ?? settings);
+	}
+
 	start(): void {
 		this.storeSync.start();
 		this.scheduleTick();
@@ -241,6 +253,7 @@
 						authority: () => this.leadership.authority() === term,
 						served: () => !this.storeSync.silent,
 						resign: (why) => this.leadership.resign(why),
+						teamQuota: this.teamQuota,
 						requestPrefix: `${this.platform.node}-${this.incarnation}-${term}`,
 					});
 					this.relay.newLeader(this.platform.node, term);
@@ -260,6 +273,8 @@
 
 	private changed(key: string): void {
 		if (key.startsWith(keys.jobs)) this.leader?.jobChanged(key.slice(keys.jobs.length));
+		const quota = key.startsWith(keys.quota) ? this.storeCopy.quota.get(key) : undefined;
+		if (quota) this.teamQuota?.stored(key, quota.value, quota.revision);
 	}
 
 	report(report: WorkerReport): Promise<ReportResult> {
@@ -290,6 +305,7 @@
 			epoch: term,
 			strays: this.countUnexpectedReports(),
 			standing: true,
+			...(this.teamQuota && { quota: this.teamQuota.reply() }),
 		};
 		this.ports.peers.send(leader, reply);
 	}
@@ -391,16 +407,26 @@
 		if (message.epoch < (this.storeCopy.leader?.revision ?? 0)) return;
 		if (message.served) this.othersServedAt = this.peerHeardAt;
 		this.running = new Map(message.counts);
+		if (message.quota !== undefined) this.teamQuota?.takeTerms(message.epoch, message.quota);
 		this.sendHeartbeatReply(from, message.epoch);
 	}
 
 	/** This node as a placer. */
-	private propose(from: string, { epoch, cycle, machines, grants, start }: PlacementRequest): void {
+	private propose(from: string, request: PlacementRequest): void {
+		const { epoch, cycle, machines, grants, start } = request;
 		const { jobs } = this.storeCopy;
-		const placements = placeFirstFit(machines, grants, (id) => jobs.get(id)?.value.spec, start);
+		const specOf = (id: string) => jobs.get(id)?.value.spec;
 		const unknown = grants.map((grant) => grant.job).filter((id) => !jobs.has(id));
-		const proposal: PlacementProposal = { kind: "placed", epoch, cycle, placements, unknown };
-		this.ports.peers.send(from, proposal);
+		const proposal = { kind: "placed", epoch, cycle, unknown } as const;
+		if (request.quota === undefined || !this.teamQuota) {
+			const placements = placeFirstFit(machines, grants, specOf, start);
+			this.ports.peers.send(from, { ...proposal, placements } satisfies PlacementProposal);
+			return;
+		}
+		this.teamQuota.takeTerms(epoch, request.quota);
+		const placements = placeAdmitted(this.teamQuota, machines, grants, specOf, start);
+		const quota = this.teamQuota.sendBatch();
+		this.ports.peers.send(from, { ...proposal, placements, quota } satisfies PlacementProposal);
 	}
 }
 
--- a/src/coordination/feature-record.ts
+++ b/src/coordination/feature-record.ts
@@ -5,8 +5,8 @@
 const retryMs = 1000;
 
 /**
- * Writes to the store, once and for good, that every controller serves standing jobs. Until then
- * none is accepted: a controller that does not know them would run their replicas to an end.
+ * Writes to the store, once and for good, what every controller has said it serves. Until then no
+ * standing job is accepted: a controller that does not know them would run their replicas to an end.
  */
 export class FeatureRecord {
 	private writing = false;
@@ -18,10 +18,14 @@
 		private readonly post: (command: () => void) => void,
 	) {}
 
-	writeStanding(): void {
-		if (this.writing) return;
+	/** Adds to what is recorded, if that lacks something. */
+	write(recorded: FeaturesRecord, served: FeaturesRecord): void {
+		const lacking = (Object.keys(served) as (keyof FeaturesRecord)[]).some(
+			(feature) => served[feature] === true && recorded[feature] !== true,
+		);
+		if (this.writing || !lacking) return;
 		this.writing = true;
-		const value: FeaturesRecord = { standing: true };
+		const value: FeaturesRecord = { ...recorded, ...served };
 		const done = () => this.post(() => (this.writing = false));
 		this.store
 			.transact([this.leaderCondition], [{ put: keys.features, value }], "normal")
--- a/src/coordination/job-service.ts
+++ b/src/coordination/job-service.ts
@@ -1,4 +1,5 @@
 import { typeFits } from "../bookkeeping/jobs.js";
+import type { TeamLimits } from "../bookkeeping/quotas.js";
 import {
 	demandOf,
 	type JobRecord,
@@ -9,7 +10,6 @@
 import type { StoreCopy } from "../bookkeeping/store-copy.js";
 import { MalformedMessageError } from "../protocol/checks.js";
 import { isStanding, type JobSpec, type JobStatus, type MachineType } from "../protocol/model.js";
-import type { TeamSettings } from "../protocol/settings.js";
 import { CallFailed, type StorePort, type TimePort } from "./ports.js";
 import type { StoreSync } from "./store-sync.js";
 
@@ -39,7 +39,7 @@
  */
 export function reasonImpossible(
 	spec: JobSpec,
-	team: TeamSettings | undefined,
+	team: TeamLimits | undefined,
 	types: Parameters<typeof typeFits>[1][],
 ): string | null {
 	if (!team) return `there is no team "${spec.team}"`;
@@ -52,7 +52,7 @@
 }
 
 /** Replicas run all at the same time. */
-function impossibleTogether(spec: JobSpec, team: TeamSettings, fitting: MachineType[]): string | null {
+function impossibleTogether(spec: JobSpec, team: TeamLimits, fitting: MachineType[]): string | null {
 	if (spec.tasks * spec.cpus > team.cpus_max || spec.tasks * spec.gpus > team.gpus_max) {
 		return `all replicas together need more than the limit of team "${spec.team}"`;
 	}
@@ -75,7 +75,7 @@
 		private readonly storeSync: StoreSync,
 		private readonly store: StorePort,
 		private readonly time: TimePort,
-		private readonly teams: Map<string, TeamSettings>,
+		private readonly limitsOf: (team: string) => TeamLimits | undefined,
 		/** Empty: not told. */
 		private readonly zones: readonly string[],
 		private readonly valueKb: number,
@@ -128,7 +128,7 @@
 		}
 		const size = Buffer.byteLength(JSON.stringify(record));
 		const reason =
-			reasonImpossible(spec, this.teams.get(spec.team), types) ??
+			reasonImpossible(spec, this.limitsOf(spec.team), types) ??
 			(size > this.valueKb * 1024 ? "the job's description is too long to be kept" : null);
 		return reason === null ? null : { kind: "impossible", reason };
 	}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -18,7 +18,16 @@
 import { OrderSender } from "./order-sender.js";
 import { PeerMonitor } from "./peer-monitor.js";
 import { PlacementCycle } from "./placement-cycle.js";
-import type { CloudPort, Log, PeerPort, StorePort, TimePort, WorkerPort } from "./ports.js";
+import type {
+	CloudPort,
+	LeaderQuotaPort,
+	Log,
+	PeerPort,
+	StorePort,
+	TeamQuotaPort,
+	TimePort,
+	WorkerPort,
+} from "./ports.js";
 import { PreemptionCycle } from "./preemption-cycle.js";
 import { ReplicaRelocation } from "./replica-relocation.js";
 import { type Applied, applyReport, ordersFor } from "./reports.js";
@@ -26,6 +35,7 @@
 import { stopBeforeTaken } from "./spot-notice.js";
 import { Takeover } from "./takeover.js";
 import { TaskOutcomes } from "./task-outcomes.js";
+import { TeamAdmission } from "./team-admission.js";
 import { TickLateness } from "./tick-lateness.js";
 import { UnwantedTasks } from "./unwanted-tasks.js";
 
@@ -55,6 +65,8 @@
 	/** The state service answers this node. */
 	served(): boolean;
 	resign(why: string): void;
+	/** Team quota; null: this leader's own check of limits stands alone. */
+	teamQuota: TeamQuotaPort | null;
 	/** Begins the names of rental requests; never used by another term or process. */
 	requestPrefix: string;
 }
@@ -102,6 +114,8 @@
 	private readonly watch: MachineWatch;
 	private readonly machineRecords: SharedRecords<MachineRecord>;
 	private readonly featureRecord: FeatureRecord;
+	private readonly leaderQuota: LeaderQuotaPort | null;
+	private readonly teamAdmission: TeamAdmission | null;
 	/** Machines with starts decided and not yet sent. */
 	private readonly assigned = new Set<Machine>();
 	private readonly beganAt: number;
@@ -139,6 +153,7 @@
 			learned: (job, final, revision) => this.storeCopy.recordTerminal(job, final, revision),
 		});
 		this.relocation = new ReplicaRelocation(clusterState, this.orders, log);
+		this.leaderQuota = options.teamQuota?.lead(term) ?? null;
 		this.peerMonitor = new PeerMonitor({
 			term,
 			beganAt: this.beganAt,
@@ -146,10 +161,12 @@
 			settings,
 			clusterState,
 			peers: ports.peers,
+			quotaTerms: (node) => this.leaderQuota?.termsFor(node),
 			served: options.served,
 			resign: options.resign,
 			log,
 		});
+		this.teamAdmission = this.makeAdmission();
 		this.placement = new PlacementCycle({
 			self: options.self,
 			clusterState,
@@ -162,6 +179,10 @@
 			silentMs: settings.placing.silent_s * 1000,
 			sample: settings.placing.sample,
 			capS: settings.climb.cap_s,
+			quota:
+				this.teamAdmission && this.leaderQuota
+					? { admission: this.teamAdmission, leaderQuota: this.leaderQuota }
+					: null,
 			decided: (attempt) => this.decided(attempt),
 		});
 		const inOrder = (jobs: Job[]) => this.placement.inOrder(jobs);
@@ -218,12 +239,30 @@
 		this.rebuild();
 	}
 
+	private makeAdmission(): TeamAdmission | null {
+		const { options, leaderQuota, clusterState, peerMonitor, orders } = this;
+		if (!options.teamQuota || !leaderQuota) return null;
+		const { node, others } = this.platform;
+		return new TeamAdmission({
+			quota: options.teamQuota,
+			leaderQuota,
+			clusterState,
+			peerMonitor,
+			orders,
+			nodes: [node, ...others.map((other) => other.node)],
+			preemptAfterMs: options.settings.team_quota.preempt_after_s * 1000,
+			servedByAll: () => this.storeCopy.features.quota === true || peerMonitor.allServeQuota,
+			log: this.ports.log,
+		});
+	}
+
 	private get active(): boolean {
 		return !this.ended && this.options.authority();
 	}
 
 	end(): void {
 		this.ended = true;
+		this.leaderQuota?.end();
 		this.held.refuseAll();
 	}
 
@@ -455,6 +494,7 @@
 		this.completion.tick(now);
 		this.peerMonitor.tick(now, () => this.runningCounts());
 		this.audit(now);
+		this.teamAdmission?.tick(now);
 		if (this.anyWaiting(now)) this.clusterState.placementDue = true;
 		this.preemption.tick(now);
 		this.relocation.tick(now);
@@ -534,8 +574,16 @@
 		this.peerMonitor.heard(from, now);
 		if (message.kind === "placed") this.placement.proposed(from, message, now);
 		if (message.kind !== "pong") return;
-		this.peerMonitor.answered(from, message.strays, message.standing === true, now);
-		const recorded = this.storeCopy.features.standing === true;
-		if (!recorded && this.active && this.peerMonitor.allServeStanding) this.featureRecord.writeStanding();
+		this.peerMonitor.answered(from, message, now);
+		if (message.quota !== undefined) this.leaderQuota?.heard(from, message.quota);
+		if (this.active) this.recordFeatures();
+	}
+
+	private recordFeatures(): void {
+		const { allServeStanding, allServeQuota } = this.peerMonitor;
+		this.featureRecord.write(this.storeCopy.features, {
+			...(allServeStanding && { standing: true }),
+			...(allServeQuota && this.leaderQuota && { quota: true }),
+		});
 	}
 }
--- a/src/coordination/peer-monitor.ts
+++ b/src/coordination/peer-monitor.ts
@@ -1,4 +1,5 @@
 import type { OperatorSettings } from "../protocol/operator.js";
+import type { HeartbeatReply } from "../protocol/peer.js";
 import type { PlatformSettings } from "../protocol/settings.js";
 import type { ClusterState } from "./cluster-state.js";
 import { placerOf } from "./partitioning.js";
@@ -27,6 +28,8 @@
 	settings: OperatorSettings;
 	clusterState: ClusterState;
 	peers: PeerPort;
+	/** Team quota's message to a controller; undefined: none. */
+	quotaTerms(node: string): unknown;
 	/** The state service answers this node. */
 	served(): boolean;
 	resign(why: string): void;
@@ -48,6 +51,8 @@
 	private nextPing = 0;
 	/** Controllers that serve standing jobs, by their own word in this term. */
 	private readonly serveStanding = new Set<string>();
+	/** Controllers that take part in team quota, likewise. */
+	private readonly serveQuota = new Set<string>();
 
 	private readonly term: number;
 	private readonly platform: PlatformSettings;
@@ -91,7 +96,10 @@
 			hearing,
 			relay,
 		};
-		for (const other of this.platform.others) this.peers.send(other.node, message);
+		for (const { node } of this.platform.others) {
+			const quota = this.options.quotaTerms(node);
+			this.peers.send(node, quota === undefined ? message : { ...message, quota });
+		}
 		this.unreachableLooks = ears.up >= 2 && !hearing ? this.unreachableLooks + 1 : 0;
 		this.stepAside(now, ears);
 	}
@@ -106,10 +114,12 @@
 	}
 
 	/** It has answered, and says how many machines turned to it. */
-	answered(from: string, count: number, standing: boolean, now: number): void {
-		if (standing) this.serveStanding.add(from);
+	answered(from: string, { strays, standing, quota }: HeartbeatReply, now: number): void {
+		if (standing === true) this.serveStanding.add(from);
 		else this.serveStanding.delete(from);
-		this.redirected.set(from, { at: now, count });
+		if (quota !== undefined) this.serveQuota.add(from);
+		else this.serveQuota.delete(from);
+		this.redirected.set(from, { at: now, count: strays });
 		if (this.unreachableLooks > 0) this.stepAside(now, this.reachable(now));
 	}
 
@@ -117,6 +127,10 @@
 		return this.platform.others.every(({ node }) => this.serveStanding.has(node));
 	}
 
+	get allServeQuota(): boolean {
+		return this.platform.others.every(({ node }) => this.serveQuota.has(node));
+	}
+
 	livePlacers(now: number): string[] {
 		const live = [this.platform.node];
 		for (const other of this.platform.others) {
--- /dev/null
+++ b/src/coordination/place-admitted.ts
@@ -0,0 +1,33 @@
+import { demandOf } from "../bookkeeping/records.js";
+import type { JobSpec } from "../protocol/model.js";
+import type { Grant, Placement, ViewMachine } from "../protocol/placement.js";
+import { placeFirstFit } from "./placing.js";
+import type { TeamQuotaPort } from "./ports.js";
+
+/**
+ * Places what this controller can admit against its own allotments: admitted first, so that no place
+ * is proposed that the team may not use, and given back where no machine has room.
+ */
+export function placeAdmitted(
+	quota: TeamQuotaPort,
+	machines: ViewMachine[],
+	grants: Grant[],
+	specOf: (job: string) => JobSpec | undefined,
+	start: number,
+): Placement[] {
+	const admitted: Grant[] = [];
+	for (const grant of grants) {
+		const spec = specOf(grant.job);
+		const count = spec ? quota.admit(demandOf(spec), grant.count) : 0;
+		if (count > 0) admitted.push({ ...grant, count });
+	}
+	const placements = placeFirstFit(machines, admitted, specOf, start);
+	const placed = new Map<string, number>();
+	for (const { job, count } of placements) placed.set(job, (placed.get(job) ?? 0) + count);
+	for (const { job, count } of admitted) {
+		const spec = specOf(job);
+		const left = count - (placed.get(job) ?? 0);
+		if (spec && left > 0) quota.withdraw(demandOf(spec), left);
+	}
+	return placements;
+}
--- a/src/coordination/placement-cycle.ts
+++ b/src/coordination/placement-cycle.ts
@@ -9,11 +9,14 @@
 import { placerOf } from "./partitioning.js";
 import type { PeerMonitor } from "./peer-monitor.js";
 import { placeFirstFit, sampled } from "./placing.js";
-import type { Log, PeerPort, TimePort } from "./ports.js";
+import type { LeaderQuotaPort, Log, PeerPort, TimePort } from "./ports.js";
 import { ReservedMachines } from "./reserved-machines.js";
+import type { TeamAdmission } from "./team-admission.js";
 
 /** A job that its placer does not know is placed by the leader for so long. */
 const placedHereMs = 5000;
+/** So long after the leader a placer may come to know a job, where team quota is in use. */
+const copyLagMs = 1000;
 /** Stands for no bound on tasks where a machine is not on trial. */
 const manySlots = 100_000;
 
@@ -37,6 +40,8 @@
 	sample: number;
 	/** Most remaining seconds that a task is counted for. */
 	capS: number;
+	/** Team quota, where it is in use. */
+	quota: { admission: TeamAdmission; leaderQuota: LeaderQuotaPort } | null;
 	/** A start was decided; it goes out with the answer to the machine's report. */
 	decided(attempt: Attempt): void;
 }
@@ -96,6 +101,7 @@
 		this.giveUpSilent(now);
 		for (const attempt of this.reserved.update(now, this.options.time.date().getTime()))
 			this.options.decided(attempt);
+		this.admitHere(now);
 		const views = this.views();
 		if (views.length === 0) return;
 		const shares = this.shares(this.grants(views, now), now);
@@ -110,6 +116,24 @@
 		}
 	}
 
+	/** This node itself starts what waits on reserved machines and what its placer does not know. */
+	private admitHere(now: number): void {
+		const { quota } = this.options;
+		if (!quota?.admission.on) return;
+		const needs = this.reserved.startable().map((job) => ({ job, tasks: 1 }));
+		for (const job of this.clusterState.jobs.values())
+			if (job.placedHereUntil > now && job.waiting.length > 0) needs.push({ job, tasks: job.waiting.length });
+		quota.admission.admitHere(needs);
+	}
+
+	private placer(job: Job, live: readonly string[], now: number): string | null {
+		const { self, quota } = this.options;
+		const here = job.placedHereUntil > now;
+		if (here && (!quota?.admission.on || quota.admission.mayPlaceHere(job))) return self;
+		const preferred = placerOf(job.spec.team, live) ?? self;
+		return quota?.admission.on ? quota.admission.placerFor(job, preferred, live) : preferred;
+	}
+
 	private giveUpSilent(now: number): void {
 		for (const [node, { sentAt }] of this.outstanding) {
 			if (now - sentAt <= this.options.silentMs) continue;
@@ -141,9 +165,10 @@
 	private shares(grants: TeamGrant[], now: number): Map<string, Grant[]> {
 		const live = this.options.peerMonitor.livePlacers(now);
 		const shares = new Map<string, Grant[]>();
-		for (const { grant, team } of grants) {
-			const here = (this.clusterState.jobs.get(grant.job)?.placedHereUntil ?? 0) > now;
-			const placer = here ? this.options.self : (placerOf(team, live) ?? this.options.self);
+		for (const { grant } of grants) {
+			const job = this.clusterState.jobs.get(grant.job);
+			const placer = job ? this.placer(job, live, now) : null;
+			if (placer === null) continue;
 			// A placer still at work on the last view may be using its teams' room already.
 			if (this.outstanding.has(placer)) continue;
 			const share = shares.get(placer);
@@ -155,7 +180,8 @@
 
 	private placeHere(views: ViewMachine[], grants: Grant[], start: number): void {
 		const copy = views.map((view) => ({ ...view }));
-		this.issue(placeFirstFit(copy, grants, (id) => this.clusterState.jobs.get(id)?.spec, start));
+		const placements = placeFirstFit(copy, grants, (id) => this.clusterState.jobs.get(id)?.spec, start);
+		this.issue(placements, this.options.self);
 	}
 
 	private request(
@@ -167,30 +193,44 @@
 	): void {
 		this.outstanding.set(placer, { cycle: this.cycle, sentAt: now });
 		const { cycle, clusterState, options } = this;
-		options.peers.send(placer, { kind: "view", epoch: clusterState.term, cycle, start, machines, grants });
+		const quota = options.quota?.admission.on ? options.quota.leaderQuota.termsFor(placer) : undefined;
+		options.peers.send(placer, {
+			kind: "view",
+			epoch: clusterState.term,
+			cycle,
+			start,
+			machines,
+			grants,
+			...(quota !== undefined && { quota }),
+		});
 	}
 
 	/** Of an older cycle than the one asked for, a proposal is out of date. */
 	proposed(from: string, proposal: PlacementProposal, now: number): void {
+		const { quota } = this.options;
+		// Heard in any case: what was admitted and does not start is settled by that.
+		const admitted = quota?.leaderQuota.heard(from, proposal.quota) ?? false;
 		if (this.outstanding.get(from)?.cycle !== proposal.cycle) return;
 		this.outstanding.delete(from);
-		this.issue(proposal.placements);
+		if (admitted || !quota?.admission.on) this.issue(proposal.placements, from);
 		// A placer that lags behind, or has missed a job, must not keep it from starting.
 		for (const id of proposal.unknown) {
 			const job = this.clusterState.jobs.get(id);
-			if (job) job.placedHereUntil = now + placedHereMs;
 			this.clusterState.placementDue = true;
+			// What the placer may admit would have to come here first: a copy that only lags is given time.
+			const lags = job !== undefined && quota?.admission.on === true && now - job.knownAt < copyLagMs;
+			if (job && !lags) job.placedHereUntil = now + placedHereMs;
 		}
 	}
 
 	/** Checks every proposal against the leader's own tables. */
-	private issue(placements: Placement[]): void {
+	private issue(placements: Placement[], placer: string): void {
 		for (const { job: id, machine: machineId, count } of placements) {
 			const job = this.clusterState.jobs.get(id);
 			const machine = this.clusterState.machines.get(machineId);
 			if (!job || !machine) continue;
 			for (let i = 0; i < count; i++) {
-				const attempt = this.clusterState.decide(job, machine);
+				const attempt = this.clusterState.decide(job, machine, placer);
 				if (!attempt) break;
 				this.options.decided(attempt);
 			}
--- a/src/coordination/reserved-machines.ts
+++ b/src/coordination/reserved-machines.ts
@@ -76,6 +76,12 @@
 		return started;
 	}
 
+	/** Jobs whose reserved machine has room by now. */
+	startable(): Job[] {
+		const ready = [...this.reservations].filter(([job, { machine }]) => machine.hasRoomFor(job.spec));
+		return ready.map(([job]) => job);
+	}
+
 	/** The machine is still this leader's. */
 	private holds(machine: Machine): boolean {
 		return this.clusterState.machines.get(machine.id) === machine;
--- /dev/null
+++ b/src/coordination/team-admission.ts
@@ -0,0 +1,150 @@
+import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import { demandOf } from "../bookkeeping/records.js";
+import type { ClusterState } from "./cluster-state.js";
+import type { OrderSender } from "./order-sender.js";
+import { placerOf } from "./partitioning.js";
+import type { PeerMonitor } from "./peer-monitor.js";
+import type { LeaderQuotaPort, Log, TeamQuotaPort } from "./ports.js";
+
+const limitsEveryMs = 500;
+
+export interface TeamAdmissionOptions {
+	quota: TeamQuotaPort;
+	leaderQuota: LeaderQuotaPort;
+	clusterState: ClusterState;
+	peerMonitor: PeerMonitor;
+	orders: OrderSender;
+	/** Every node of the cluster. */
+	nodes: readonly string[];
+	/** What runs above a lowered limit is stopped after this; 0: never. */
+	preemptAfterMs: number;
+	/** Every controller has said that it takes part, now or under an earlier leader. */
+	servedByAll(): boolean;
+	log: Log;
+}
+
+/**
+ * The leader's use of team quota in one term: which controller admits a team's work, what this one
+ * admits itself, and what a lowered limit stops. Until every controller takes part the leader's own
+ * check of limits stands alone.
+ */
+export class TeamAdmission {
+	private started = false;
+	/** Controllers that place, as of the last change. */
+	private placers: readonly string[] = [];
+	private nextLimitsAt = 0;
+	/** What this node has asked for itself, by team. */
+	private needs = new Map<string, Job>();
+	/** Steady time since which a team has run above a lower limit. */
+	private readonly excessSince = new Map<string, number>();
+
+	constructor(private readonly options: TeamAdmissionOptions) {}
+
+	/** Whether starts need an allotment. */
+	get on(): boolean {
+		return this.started;
+	}
+
+	/** Called often, with authority. */
+	tick(now: number): void {
+		if (!this.started) this.considerStart();
+		if (!this.started) return;
+		this.preferPlacers(now);
+		this.options.leaderQuota.tick();
+		if (now < this.nextLimitsAt) return;
+		this.nextLimitsAt = now + limitsEveryMs;
+		for (const team of [...this.options.clusterState.quotas.names]) this.followLimit(team, now);
+	}
+
+	/** Only once all that may run is known, so that it can be charged. */
+	private considerStart(): void {
+		const { clusterState, leaderQuota, log } = this.options;
+		if (!clusterState.rebuilt || !this.options.servedByAll()) return;
+		this.started = true;
+		clusterState.useAdmission(leaderQuota);
+		leaderQuota.start();
+		log.info({}, "teams' limits are divided among the controllers");
+	}
+
+	/** Allotments follow the placers, which change when controllers come and go. */
+	private preferPlacers(now: number): void {
+		const { clusterState, peerMonitor, leaderQuota, nodes } = this.options;
+		const live = peerMonitor.livePlacers(now);
+		if (live.join() === this.placers.join()) return;
+		this.placers = live;
+		for (const team of clusterState.quotas.names)
+			leaderQuota.prefer(team, placerOf(team, live) ?? leaderQuota.self, nodes);
+	}
+
+	/** Who can admit a task of the job now: its team's placer, or another that still holds an allotment. */
+	placerFor(job: Job, preferred: string, live: readonly string[]): string | null {
+		const demand = demandOf(job.spec);
+		const { leaderQuota } = this.options;
+		if (leaderQuota.hasRoom(demand, preferred)) return preferred;
+		return live.find((node) => leaderQuota.hasRoom(demand, node)) ?? null;
+	}
+
+	mayPlaceHere(job: Job): boolean {
+		return this.options.leaderQuota.hasRoom(demandOf(job.spec), this.options.leaderQuota.self);
+	}
+
+	/** Tasks that this node itself has to admit, since nobody else can place them: one job of each team. */
+	admitHere(needed: Iterable<{ job: Job; tasks: number }>): void {
+		const needs = new Map<string, Job>();
+		for (const { job, tasks } of needed) {
+			if (needs.has(job.spec.team)) continue;
+			needs.set(job.spec.team, job);
+			this.need(job, tasks);
+		}
+		for (const [team, job] of this.needs) if (!needs.has(team)) this.need(job, 0);
+		this.needs = needs;
+	}
+
+	/** What this node places for a team anyway is not asked for apart. */
+	private need(job: Job, tasks: number): void {
+		const { leaderQuota } = this.options;
+		if (placerOf(job.spec.team, this.placers) !== leaderQuota.self)
+			leaderQuota.need(demandOf(job.spec), tasks);
+	}
+
+	// --- limits ---
+
+	/** The leader's own check goes by the limit that allotments go by. */
+	private followLimit(team: string, now: number): void {
+		const { quota, clusterState, leaderQuota } = this.options;
+		const limits = quota.limits(team);
+		if (limits) clusterState.quotas.setLimits(limits);
+		const excess = leaderQuota.excess(team);
+		if (!excess) {
+			this.excessSince.delete(team);
+			return;
+		}
+		const since = this.excessSince.get(team) ?? now;
+		this.excessSince.set(team, since);
+		const { preemptAfterMs } = this.options;
+		if (preemptAfterMs > 0 && now - since >= preemptAfterMs) this.stopExcess(team, excess);
+	}
+
+	/** The latest starts of the least rank end first. */
+	private stopExcess(team: string, excess: { cpus: number; gpus: number }): void {
+		const { clusterState, orders, log } = this.options;
+		const running = [...clusterState.jobs.values()]
+			.filter((job) => job.spec.team === team)
+			.flatMap((job) => [...job.attempts.values()])
+			.sort((a, b) => b.job.rank - a.job.rank || b.number - a.number);
+		const left = { ...excess };
+		const stopped: Attempt[] = [];
+		for (const attempt of running) {
+			if (left.cpus <= 0 && left.gpus <= 0) break;
+			const { cpus, gpus, saveS } = attempt.job.spec;
+			left.cpus -= cpus;
+			left.gpus -= gpus;
+			if (attempt.stop !== null) continue;
+			attempt.stop = { graceS: saveS, why: "the team's limit was lowered" };
+			stopped.push(attempt);
+		}
+		if (stopped.length === 0) return;
+		log.info({ team, tasks: stopped.length }, "stopping tasks above a lowered limit");
+		orders.stop(stopped);
+	}
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -7,6 +7,7 @@
 import type { TimePort } from "./coordination/ports.js";
 import { defaultOperator, parseOperator } from "./protocol/operator.js";
 import { parsePlatform, readText, SettingsError } from "./protocol/settings.js";
+import { makeTeamQuota } from "./team-quota.js";
 import { CloudClient } from "./transport/cloud-client.js";
 import { HttpClient } from "./transport/http-client.js";
 import { PeerLinks } from "./transport/peer-link.js";
@@ -80,7 +81,8 @@
 		(from, m) => controller.peerMessage(from, m),
 		log,
 	);
-	const controller = new Controller(platform, operator, randomBytes(6).toString("hex"), {
+	const incarnation = randomBytes(6).toString("hex");
+	const controller = new Controller(platform, operator, incarnation, {
 		store,
 		cloud: new CloudClient(new HttpClient(endpoints.cloud, 8), steadyTime, cluster.cloud.rps),
 		workers: new WorkerClient(),
@@ -89,6 +91,8 @@
 		log,
 		random: xoroshiro128plus(seed),
 		schedule: setImmediate,
+		teamQuota: (post) =>
+			makeTeamQuota({ platform, operator, incarnation, store, time: steadyTime, log, post }),
 	});
 
 	const service: PublicService = {
--- a/src/protocol/operator.ts
+++ b/src/protocol/operator.ts
@@ -56,6 +56,21 @@
 		}),
 		{},
 	),
+	team_quota: v.optional(
+		v.strictObject({
+			/** Teams' limits are divided among the controllers, each of which admits on its own. */
+			enabled: v.optional(v.boolean(), false),
+			/** A controller that has not been heard for about this long loses its allotments. */
+			expiry_s: v.optional(v.pipe(v.number(), v.minValue(0.5), v.maxValue(60)), 2.5),
+			/** Kept free at the end of that, on top of clock drift. */
+			margin_s: v.optional(amount, 0.1),
+			/** Least time between moves of one team's allotment. */
+			move_pause_s: v.optional(amount, 1),
+			/** What a team runs above a lowered limit is stopped after this; 0: it ends by itself. */
+			preempt_after_s: v.optional(amount, 60),
+		}),
+		{},
+	),
 	machines: v.optional(
 		v.strictObject({
 			/** Failures of different jobs after which a machine is set aside. */
@@ -84,6 +99,7 @@
 		leadership: {},
 		placing: {},
 		reports: {},
+		team_quota: {},
 		machines: {},
 		...source,
 	};
@@ -96,6 +112,11 @@
 			`${file}: field "leadership.margin_s": must be less than half of "leadership.ttl_s"`,
 		);
 	}
+	if (settings.team_quota.margin_s * 2 >= settings.team_quota.expiry_s) {
+		throw new SettingsError(
+			`${file}: field "team_quota.margin_s": must be less than half of "team_quota.expiry_s"`,
+		);
+	}
 	return settings;
 }
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -25,6 +25,8 @@
 	start: number;
 	machines: ViewMachine[];
 	grants: Grant[];
+	/** Team quota's own message to the holder; checked by the package. Left out where it is off. */
+	quota?: unknown;
 }
 
 /** Placer to leader. */
@@ -35,6 +37,8 @@
 	placements: Placement[];
 	/** Granted jobs that the placer's own copy of the store lacks. */
 	unknown: string[];
+	/** Team quota's reply, with the batch of admissions that the placements are. */
+	quota?: unknown;
 }
 
 /** Leader to all, twice a second. */
@@ -49,6 +53,8 @@
 	hearing: boolean;
 	/** Reports may be received by every node and are to be forwarded to the leader. */
 	relay: boolean;
+	/** As in a placement request. */
+	quota?: unknown;
 }
 
 /** Answer to a heartbeat, and sent unasked by a node to which the leader's workers turn. */
@@ -59,6 +65,8 @@
 	strays: number;
 	/** This node serves standing jobs; left out by versions before 0.5.0. */
 	standing?: boolean | undefined;
+	/** Team quota's reply; left out by versions before 0.8.0 and where it is off. */
+	quota?: unknown;
 }
 
 /** Node to leader: workers' reports, each with a number of the sender's. */
@@ -139,6 +147,7 @@
 		start: count,
 		machines: v.array(ViewMachineSchema),
 		grants: v.array(GrantSchema),
+		quota: v.optional(v.unknown()),
 	}),
 	placed: v.object({
 		kind: v.literal("placed"),
@@ -147,6 +156,7 @@
 		placements: v.array(PlacementSchema),
 		// The first versions did not say which jobs they lack.
 		unknown: v.optional(v.array(v.string()), []),
+		quota: v.optional(v.unknown()),
 	}),
 	running: v.object({
 		kind: v.literal("running"),
@@ -155,8 +165,15 @@
 		served: v.boolean(),
 		hearing: v.boolean(),
 		relay: v.boolean(),
+		quota: v.optional(v.unknown()),
+	}),
+	pong: v.object({
+		kind: v.literal("pong"),
+		epoch,
+		strays: count,
+		standing: v.optional(v.boolean()),
+		quota: v.optional(v.unknown()),
 	}),
-	pong: v.object({ kind: v.literal("pong"), epoch, strays: count, standing: v.optional(v.boolean()) }),
 	ask: v.object({
 		kind: v.literal("ask"),
 		epoch,
--- /dev/null
+++ b/src/team-quota.ts
@@ -0,0 +1,78 @@
+import { limitAmount, QuotaService, type QuotaStore, type StoredChange, TeamQuota } from "#team-quota";
+import { keys } from "./bookkeeping/records.js";
+import type { Log, StorePort, TeamQuotaPort, TimePort } from "./coordination/ports.js";
+import type { OperatorSettings } from "./protocol/operator.js";
+import type { PlatformSettings } from "./protocol/settings.js";
+
+/** Wires team quota to the service: its store, its clocks and the settings of platform and operators. */
+
+/** Values are written up to this part of the largest allowed. */
+const valuePart = 0.8;
+
+/** The state service as the package asks for it. */
+export function quotaStore(store: StorePort): QuotaStore {
+	return {
+		read: async (key) => {
+			const { row } = await store.read(key);
+			return row && { key, value: row.value, revision: row.revision };
+		},
+		rows: async (prefix) => {
+			const { rows } = await store.rows(prefix);
+			return rows.map(({ key, value, revision }) => ({ key, value, revision }));
+		},
+		transact: async (conditions, changes) => {
+			const puts = changes.map(({ key, value }: StoredChange) => ({ put: key, value }));
+			const result = await store.transact(conditions, puts, "normal");
+			return result.ok
+				? { kind: "written", revision: result.epoch }
+				: { kind: "conflict", keys: result.failed };
+		},
+	};
+}
+
+export interface TeamQuotaWiring {
+	platform: PlatformSettings;
+	operator: OperatorSettings;
+	/** This process. */
+	incarnation: string;
+	store: StorePort;
+	time: TimePort;
+	log: Log;
+	post(command: () => void): void;
+}
+
+/** null: operators have it switched off. */
+export function makeTeamQuota(wiring: TeamQuotaWiring): TeamQuotaPort | null {
+	const { platform, operator, incarnation, store, time, log, post } = wiring;
+	const settings = operator.team_quota;
+	if (!settings.enabled) return null;
+	const { teams, state } = platform.cluster;
+	const quota = new TeamQuota({
+		node: platform.node,
+		incarnation,
+		nodes: [platform.node, ...platform.others.map(({ node }) => node)].sort(),
+		teams: new Map(
+			teams.map((team) => [
+				team.name,
+				{
+					limit: limitAmount(team.cpus_max, team.gpus_max),
+					guarantee: limitAmount(team.cpus, team.gpus),
+				},
+			]),
+		),
+		settings: {
+			expiryMs: settings.expiry_s * 1000,
+			marginMs: settings.margin_s * 1000,
+			movePauseMs: settings.move_pause_s * 1000,
+		},
+		prefix: keys.quota,
+		mostBytes: Math.floor(state.value_kb * 1024 * valuePart),
+		mostChanges: state.txn_ops,
+		store: quotaStore(store),
+		now: () => time.now(),
+		date: () => time.date().getTime(),
+		post,
+		log,
+	});
+	return new QuotaService(quota, keys.leader);
+}
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -217,6 +217,7 @@
 		moveTo: null,
 		runningAt: 0,
 		stop: null,
+		charge: null,
 	});
 	first.usedCpus = 0;
 	const run = async (ms: number) => {
--- a/tests/support/trace-player.ts
+++ b/tests/support/trace-player.ts
@@ -27,9 +27,10 @@
 	constructor(
 		private readonly trace: Trace,
 		relayed: boolean,
+		teamQuota = false,
 	) {
 		this.nodes = Array.from({ length: trace.controllers ?? 3 }, (_, i) => `runner-${i}`);
-		this.world = new World(trace.capacity, this.nodes, relayed);
+		this.world = new World(trace.capacity, this.nodes, relayed, teamQuota);
 	}
 
 	async play(): Promise<void> {
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -4,6 +4,7 @@
 import { defaultOperator } from "../../src/protocol/operator.js";
 import { type PlatformSettings, parsePlatform } from "../../src/protocol/settings.js";
 import { elsewhereBody, ordersBody, parseReport } from "../../src/protocol/worker-api.js";
+import { makeTeamQuota } from "../../src/team-quota.js";
 import { CloudClient } from "../../src/transport/cloud-client.js";
 import type { HttpCaller, HttpResponse } from "../../src/transport/http-client.js";
 import { FrameReader, frame } from "../../src/transport/peer-link.js";
@@ -183,6 +184,7 @@
 		capacity = 4,
 		readonly nodes: string[] = nodeNames,
 		private readonly relayed = false,
+		private readonly teamQuota = false,
 	) {
 		const type = (sku: string, cores: number, rate: number) => ({
 			sku,
@@ -247,8 +249,12 @@
 		const store = gate.caller(
 			this.network.caller(id, "state", (m, p, b) => this.state.handle(m, p, b, node)),
 		);
-		const controller = new Controller(settings, defaultOperator(), `inc${this.incarnation}`, {
-			store: new StoreClient(store, time, 300, 60, this.nodes.length),
+		const operator = defaultOperator();
+		operator.team_quota.enabled = this.teamQuota;
+		const incarnation = `inc${this.incarnation}`;
+		const storeClient = new StoreClient(store, time, 300, 60, this.nodes.length);
+		const controller = new Controller(settings, operator, incarnation, {
+			store: storeClient,
 			cloud: new CloudClient(
 				gate.caller(this.network.caller(id, "cloud", (m, p, b) => this.cloud.handle(m, p, b))),
 				time,
@@ -268,6 +274,8 @@
 			log,
 			random: xoroshiro128plus(this.incarnation),
 			schedule: queueMicrotask,
+			teamQuota: (post) =>
+				makeTeamQuota({ platform: settings, operator, incarnation, store: storeClient, time, log, post }),
 		});
 		const app = publicApi(
 			{
--- a/tests/traces.test.ts
+++ b/tests/traces.test.ts
@@ -14,6 +14,7 @@
 		const steps = [...trace.steps, ...more].sort((a, b) => a.at - b.at);
 		const name = variant === "" ? trace.title : `${trace.title}; ${variant}`;
 		test(`${file}: ${name}`, () => new TracePlayer({ ...trace, steps }, false).play());
+		test(`${file}: ${name}, limits divided`, () => new TracePlayer({ ...trace, steps }, false, true).play());
 		if (!trace.relayed) continue;
 		const relayed = `${file}${variant === "" ? "" : `: ${variant}`}, reports received by all controllers`;
 		test(relayed, () => new TracePlayer({ ...trace, steps }, true).play());
