--- a/packages/team-quota/src/index.ts
+++ b/packages/team-quota/src/index.ts
@@ -9,6 +9,7 @@
 	UnknownTeamError,
 } from "./commands.js";
 export { LimitChangeError, type LimitRequest } from "./limit-change.js";
+export type { AllotmentManager } from "./manager.js";
 export { LeaderQuota, QuotaService } from "./quota-service.js";
 export type { LimitTerms } from "./record.js";
 export type {
--- a/packages/team-quota/tests/support/simulated-cluster.ts
+++ b/packages/team-quota/tests/support/simulated-cluster.ts
@@ -269,8 +269,9 @@
 		}
 		const admission = process.quota.admit(team, size);
 		if (admission.kind === "admitted") {
-			// Only for the record: when, in the world's time, its allotment runs out.
-			task.voidAt = this.now + (process.quota.validUntil - this.clockOf(process)) / process.rate;
+			// Only for the record: when, in the world's time, its allotment runs out. If that is over, it stands.
+			const validMs = (process.quota.validUntil - process.quota.clock()) / process.rate;
+			task.voidAt = validMs > 0 ? this.now + validMs : Number.POSITIVE_INFINITY;
 			this.admitted(process.node, task);
 			process.sent.set(task, process.quota.closeBatch());
 		} else {
@@ -281,10 +282,6 @@
 		this.propose(process, admission.kind === "admitted" ? task : null, wish);
 	}
 
-	private clockOf(process: Process): number {
-		return process.quota.clock();
-	}
-
 	private waits(node: string, team: string): void {
 		const key = `${node}/${team}`;
 		if (!this.waitingSince.has(key)) this.waitingSince.set(key, this.now);
--- a/src/main.ts
+++ b/src/main.ts
@@ -7,6 +7,7 @@
 import type { TimePort } from "./coordination/ports.js";
 import { defaultOperator, parseOperator } from "./protocol/operator.js";
 import { parsePlatform, readText, SettingsError } from "./protocol/settings.js";
+import { QuotaCommandError, quotaCommand } from "./quota-command.js";
 import { makeTeamQuota } from "./team-quota.js";
 import { CloudClient } from "./transport/cloud-client.js";
 import { HttpClient } from "./transport/http-client.js";
@@ -32,17 +33,31 @@
 	},
 };
 
+interface ServeOptions {
+	config: string;
+	operator?: string;
+	check?: boolean;
+}
+
 async function main(argv: string[]): Promise<void> {
 	const program = new Command("ramphub")
 		.description("A cluster scheduler: takes jobs, rents machines and decides what runs where.")
-		.requiredOption("--config <file>", "the platform's settings (TOML)")
+		.option("--config <file>", "the platform's settings (TOML)")
 		.option("--operator <file>", "operators' own settings (YAML)")
 		.option("--check", "check the settings and exit")
 		.version(version)
-		.exitOverride();
-	program.parse(argv);
-	const options = program.opts<{ config: string; operator?: string; check?: boolean }>();
+		.enablePositionalOptions()
+		.exitOverride()
+		.action(async (options: Partial<ServeOptions>) => {
+			const { config } = options;
+			if (config === undefined) program.error("error: required option '--config <file>' not specified");
+			else await serve({ ...options, config });
+		});
+	program.addCommand(quotaCommand(steadyTime));
+	await program.parseAsync(argv);
+}
 
+async function serve(options: ServeOptions): Promise<void> {
 	const platform = parsePlatform(options.config, readText(options.config));
 	const operator =
 		options.operator === undefined
@@ -129,5 +144,5 @@
 		process.exit(2);
 	}
 	process.stderr.write(`ramphub: ${error instanceof Error ? error.message : error}\n`);
-	process.exit(1);
+	process.exit(error instanceof QuotaCommandError ? error.exitCode : 1);
 });
--- /dev/null
+++ b/src/quota-command.ts
@@ -0,0 +1,147 @@
+import { Command, InvalidArgumentError } from "commander";
+import {
+	ContendedError,
+	LimitChangeError,
+	type LimitRequest,
+	limitAmount,
+	type QuotaStore,
+	type ShownTeam,
+	setQuota,
+	showQuotas,
+	UnknownTeamError,
+} from "#team-quota";
+import { keys, parseStored } from "./bookkeeping/records.js";
+import { CallFailed, type StorePort, type TimePort } from "./coordination/ports.js";
+import { defaultOperator, parseOperator } from "./protocol/operator.js";
+import { parsePlatform, readText } from "./protocol/settings.js";
+import { quotaStore } from "./team-quota.js";
+import { HttpClient } from "./transport/http-client.js";
+import { StoreClient } from "./transport/store-client.js";
+
+/** `ramphub quota`: teams' limits for operators, read and changed in the state service itself. */
+
+/** The command could not be carried out; the exit code tells a refusal from a failure. */
+export class QuotaCommandError extends Error {
+	constructor(
+		message: string,
+		readonly exitCode: 1 | 2,
+	) {
+		super(message);
+	}
+}
+
+const connections = 4;
+
+interface CommandOptions {
+	config: string;
+	operator?: string;
+	json?: boolean;
+}
+
+interface SetOptions extends CommandOptions, LimitRequest {}
+
+/** A number of CPUs or accelerators, or "none" for no limit. */
+export function parseUnits(text: string): number {
+	if (text === "none") return Number.POSITIVE_INFINITY;
+	const value = Number(text);
+	if (text.trim() === "" || !Number.isFinite(value) || value < 0)
+		throw new InvalidArgumentError('expected a number of 0 or more, or "none"');
+	return value;
+}
+
+export function quotaCommand(time: TimePort): Command {
+	const quota = new Command("quota").description("Shows and changes teams' limits.").exitOverride();
+	const withFiles = (command: Command) =>
+		command
+			.requiredOption("--config <file>", "the platform's settings (TOML)")
+			.option("--operator <file>", "operators' own settings (YAML)")
+			.option("--json", "print JSON")
+			.exitOverride();
+	withFiles(quota.command("show [team]"))
+		.description("Limits, allotments, who holds them, what is pending and why.")
+		.action((team: string | undefined, options: CommandOptions) => run(() => show(time, options, team)));
+	withFiles(quota.command("set <team>"))
+		.description("Changes a team's limit or guarantee; what is not named stays.")
+		.option("--cpus <number>", 'the limit, "none" for no limit', parseUnits)
+		.option("--gpus <number>", "the limit of accelerators", parseUnits)
+		.option("--guaranteed-cpus <number>", "the guarantee", parseUnits)
+		.option("--guaranteed-gpus <number>", "the guarantee of accelerators", parseUnits)
+		.action((team: string, options: SetOptions) => run(() => set(time, options, team)));
+	return quota;
+}
+
+async function run(action: () => Promise<string>): Promise<void> {
+	try {
+		process.stdout.write(`${await action()}\n`);
+	} catch (error) {
+		if (error instanceof UnknownTeamError || error instanceof LimitChangeError)
+			throw new QuotaCommandError(error.message, 2);
+		if (error instanceof ContendedError) throw new QuotaCommandError(error.message, 1);
+		if (error instanceof CallFailed)
+			throw new QuotaCommandError(`the state service does not answer: ${error.message}`, 1);
+		throw error;
+	}
+}
+
+function connect(time: TimePort, options: CommandOptions): StorePort {
+	const { cluster, endpoints } = parsePlatform(options.config, readText(options.config));
+	return new StoreClient(
+		new HttpClient(endpoints.state, connections),
+		time,
+		cluster.state.rps,
+		cluster.state.write_rps,
+		1,
+	);
+}
+
+async function show(time: TimePort, options: CommandOptions, team: string | undefined): Promise<string> {
+	const shown = await showQuotas(quotaStore(connect(time, options)), keys.quota, team);
+	if (options.json) return JSON.stringify(shown, null, 2);
+	const faults = shown.faults.map(({ key, team: name, fault }) => `unreadable: ${key} ${name}: ${fault}`);
+	return [...shown.teams.map(describeTeam), ...faults].join("\n");
+}
+
+async function set(time: TimePort, options: SetOptions, team: string): Promise<string> {
+	const { cpus, gpus, guaranteedCpus, guaranteedGpus } = options;
+	const request: LimitRequest = { cpus, gpus, guaranteedCpus, guaranteedGpus };
+	if (Object.values(request).every((value) => value === undefined))
+		throw new QuotaCommandError("name a limit or a guarantee to change", 2);
+	const store = connect(time, options);
+	const capacity = await knownCapacity(store, options);
+	const quotas: QuotaStore = quotaStore(store);
+	const shown = await setQuota(quotas, keys.quota, team, request, time.date().getTime(), capacity);
+	return options.json ? JSON.stringify(shown, null, 2) : describeTeam(shown);
+}
+
+/** All that there can be: as many machines as operators allow, of the largest type. null: no bound is set. */
+async function knownCapacity(store: StorePort, options: CommandOptions) {
+	const operator =
+		options.operator === undefined
+			? defaultOperator()
+			: await parseOperator(options.operator, readText(options.operator));
+	const machines = operator.climb.most_machines;
+	if (machines === 0) return null;
+	const { row } = await store.read(keys.types);
+	const record = row ? parseStored(keys.types, row.value) : null;
+	if (record?.kind !== "types") return null;
+	const most = (of: "cpus" | "gpus") => Math.max(0, ...record.value.types.map((type) => type[of]));
+	return limitAmount(machines * most("cpus"), machines * most("gpus"));
+}
+
+function describeTeam(team: ShownTeam): string {
+	const units = ({ cpus, gpus }: { cpus: number | null; gpus: number | null }) =>
+		`${cpus ?? "none"} CPUs, ${gpus ?? "none"} accelerators`;
+	const lines = [
+		`${team.team}: limit ${units(team.limit)}; guarantee ${units(team.guarantee)}; revision ${team.revision}`,
+	];
+	if (team.pending) {
+		const { limit, revision, requestedAt, why } = team.pending;
+		lines.push(`  pending since ${requestedAt}: limit ${units(limit)}, revision ${revision}; ${why}`);
+	}
+	for (const { node, process, amount, reclaiming, reason } of team.allotments) {
+		const recalled = reason === null ? "" : `; being reclaimed: ${units(reclaiming)} (${reason})`;
+		lines.push(`  ${node} (process ${process}): ${units(amount)}${recalled}`);
+	}
+	lines.push(`  held by nobody: ${units(team.unallotted)}`);
+	return lines.join("\n");
+}
--- a/src/version.ts
+++ b/src/version.ts
@@ -1,2 +1,2 @@
 /** Kept equal to package.json by a test; reading a file for it at start would cost time. */
-export const version = "0.7.0";
+export const version = "0.8.0";
--- a/tests/layers.test.ts
+++ b/tests/layers.test.ts
@@ -33,3 +33,20 @@
 		assert.doesNotMatch(text, /from "node:(net|http|https|dns|fs)"/, file);
 	}
 });
+
+test("packages import nothing of the service, and its layers nothing of a package", () => {
+	const sourcesIn = (folder: URL): string[] =>
+		readdirSync(folder, { recursive: true, encoding: "utf8" })
+			.filter((file) => file.endsWith(".ts"))
+			.map((file) => readFileSync(new URL(file, folder), "utf8"));
+	const packages = new URL("../../../packages/", import.meta.url);
+	for (const name of readdirSync(packages)) {
+		const sources = sourcesIn(new URL(`${name}/src/`, packages));
+		assert.ok(sources.length > 0, name);
+		for (const text of sources)
+			for (const [, from] of text.matchAll(/from "([^"]+)"/g))
+				assert.ok(!from?.includes("..") && !from?.startsWith("#"), `${name} imports ${from}`);
+	}
+	for (const layer of Object.keys(allowed))
+		for (const text of sourcesIn(new URL(`${layer}/`, source))) assert.doesNotMatch(text, /from "#/, layer);
+});
--- /dev/null
+++ b/tests/support/quota-node.ts
@@ -0,0 +1,311 @@
+/**
+ * One controller of the test of simultaneous admissions: real leadership, store client and links to
+ * the others, and team quota with nothing beside it that checks limits. The parent is its workers.
+ */
+import { type AllotmentManager, type Amount, TeamQuota } from "#team-quota";
+import { Leadership } from "../../src/coordination/leadership.js";
+import type { TimePort } from "../../src/coordination/ports.js";
+import { parsePeerMessage } from "../../src/protocol/peer.js";
+import { quotaStore } from "../../src/team-quota.js";
+import { HttpClient } from "../../src/transport/http-client.js";
+import { PeerLinks } from "../../src/transport/peer-link.js";
+import { StoreClient } from "../../src/transport/store-client.js";
+import { silentLog } from "./silent-log.js";
+
+export interface NodeConfig {
+	node: string;
+	incarnation: string;
+	peerPort: number;
+	others: { node: string; domain: string; addr: string }[];
+	state: string;
+	teams: [string, { limit: Amount; guarantee: Amount }][];
+	/** Rate of its steady clock. */
+	rate: number;
+	busy: boolean;
+}
+
+export interface QuotaTask {
+	id: string;
+	team: string;
+	size: Amount;
+	runMs: number;
+	admittedAt: number;
+}
+
+export type FromNode =
+	| { kind: "admitted"; task: QuotaTask; voidAt: number }
+	| { kind: "void"; ids: string[]; at: number }
+	| { kind: "waited"; ms: number }
+	| { kind: "refused"; team: string; size: Amount; at: number }
+	| { kind: "start"; term: number; task: QuotaTask }
+	| { kind: "leads"; term: number; at: number };
+export type ToNode =
+	| { kind: "ended"; id: string }
+	| { kind: "running"; term: number; tasks: QuotaTask[] }
+	/** All at one moment, by the machine's clock. */
+	| { kind: "admit"; team: string; size: Amount; runMs: number; at: number };
+
+type Message =
+	| { kind: "terms"; epoch: number; terms: unknown }
+	| { kind: "propose"; epoch: number; reply: unknown; tasks: QuotaTask[] };
+
+/** The machine's steady clock, the same for all processes on it. */
+export function machineMs(): number {
+	return Number(process.hrtime.bigint()) / 1e6;
+}
+
+class QuotaNode {
+	private readonly quota: TeamQuota;
+	private readonly leadership: Leadership;
+	private readonly links: PeerLinks;
+	private readonly store: StoreClient;
+	private manager: AllotmentManager | null = null;
+	private readonly charges = new Map<string, ReturnType<AllotmentManager["chargeFound"]>>();
+	private readonly sent = new Map<string, number>();
+	private term = 0;
+	private leaderNode = "";
+	private leader: { value: { node: string; incarnation: string }; revision: number } | null = null;
+	private loaded = false;
+	private made = 0;
+	private readonly waitingSince = new Map<string, number>();
+
+	private readonly time: TimePort = {
+		now: () => performance.now() * this.config.rate,
+		date: () => new Date(),
+		after: (ms, run) => {
+			const timer = setTimeout(run, ms);
+			return { cancel: () => clearTimeout(timer) };
+		},
+	};
+
+	constructor(private readonly config: NodeConfig) {
+		const { node, incarnation, others, teams } = config;
+		this.links = new PeerLinks(
+			node,
+			others,
+			(from, message) => this.message(from, message as Message),
+			silentLog,
+		);
+		this.store = new StoreClient(new HttpClient(config.state, 10), this.time, 1e6, 1e6, 1);
+		this.quota = new TeamQuota({
+			node,
+			incarnation,
+			nodes: [node, ...others.map((other) => other.node)].sort(),
+			teams: new Map(teams),
+			settings: { expiryMs: 500, marginMs: 30, movePauseMs: 20 },
+			prefix: "r/quota/",
+			mostBytes: 8000,
+			mostChanges: 8,
+			store: quotaStore(this.store),
+			now: () => this.time.now(),
+			date: Date.now,
+			post: (command) => command(),
+			log: silentLog,
+		});
+		const tell = (message: object) => {
+			for (const other of others) this.links.send(other.node, message);
+		};
+		this.leadership = new Leadership(
+			node,
+			incarnation,
+			{ ttlMs: 800, marginMs: 50, longestUnknowingMs: 60_000 },
+			this.store,
+			this.time,
+			(command) => command(),
+			{
+				won: (term) => this.tellParent({ kind: "leads", term, at: machineMs() }),
+				lost: () => this.endTerm(),
+				tell,
+				knownAt: () => this.time.now(),
+				knownRevision: () => 0,
+				cancelledSince: () => [],
+				learn: () => {},
+			},
+			others.map((other) => other.node),
+			silentLog,
+			() => Math.random(),
+		);
+	}
+
+	async start(): Promise<void> {
+		await this.links.listen("127.0.0.1", this.config.peerPort);
+		process.on("message", (message) => this.fromParent(message as ToNode));
+		setInterval(() => this.tick(), 10);
+		for (;;) await this.follow().catch(() => new Promise((resolve) => setTimeout(resolve, 50)));
+	}
+
+	private tellParent(message: FromNode): void {
+		process.send?.(message);
+	}
+
+	// --- the store ---
+
+	private async follow(): Promise<void> {
+		const { rows, epoch } = await this.store.rows("r/");
+		for (const row of rows) this.stored(row.key, row.value, row.revision);
+		this.loaded = true;
+		for (let from = epoch; ; ) {
+			const answer = await this.store.watch("r/", from, 500);
+			for (const event of answer.events) this.stored(event.key, event.value, event.revision);
+			from = answer.epoch;
+		}
+	}
+
+	private stored(key: string, value: unknown, revision: number): void {
+		if (key.startsWith("r/quota/")) this.quota.stored(key, value, revision);
+		if (key !== "r/one/leader") return;
+		this.leader =
+			value === undefined ? null : { value: value as { node: string; incarnation: string }, revision };
+		this.leaderNode = this.leader?.value.node ?? "";
+	}
+
+	// --- leading ---
+
+	private endTerm(): void {
+		this.quota.endTerm();
+		this.manager = null;
+		this.charges.clear();
+	}
+
+	private tick(): void {
+		this.leadership.tick(this.leader, this.loaded);
+		const term = this.leadership.authority();
+		if (term === null) this.propose([]);
+		else if (this.manager) this.lead(this.manager, term);
+		if (this.config.busy) for (let i = 0; i < 3; i++) this.admitOne();
+	}
+
+	private lead(manager: AllotmentManager, term: number): void {
+		manager.tick();
+		for (const other of this.config.others) {
+			const terms = manager.termsFor(other.node);
+			if (terms) this.links.send(other.node, { kind: "terms", epoch: term, terms });
+		}
+	}
+
+	private fromParent(message: ToNode): void {
+		if (message.kind === "ended") {
+			const charge = this.charges.get(message.id);
+			this.charges.delete(message.id);
+			if (charge) this.manager?.charges.release(charge);
+		} else if (message.kind === "admit") {
+			// Waits for the moment itself, so that all ask within it.
+			while (machineMs() < message.at);
+			this.admit(message);
+		} else if (this.leadership.authority() === message.term) {
+			const manager = this.quota.beginTerm({ key: "r/one/leader", revision: message.term });
+			this.manager = manager;
+			this.drop([...this.sent.keys()]);
+			for (const { id, team, size } of message.tasks) this.charges.set(id, manager.chargeFound(team, size));
+			manager.start();
+		}
+	}
+
+	private message(from: string, message: Message): void {
+		if (message.kind === "terms") this.takeTerms(message.epoch, message.terms);
+		else if (message.kind === "propose") this.proposed(from, message.reply, message.tasks);
+		else {
+			const parsed = parsePeerMessage(message);
+			if (
+				parsed.kind === "ask" ||
+				parsed.kind === "promise" ||
+				parsed.kind === "who" ||
+				parsed.kind === "leading"
+			)
+				this.leadership.message(from, parsed);
+		}
+	}
+
+	private proposed(from: string, reply: unknown, tasks: QuotaTask[]): void {
+		const counts = this.quota.heard(from, reply);
+		const term = this.leadership.authority();
+		if (term === null || !this.manager || !counts) return;
+		for (const task of tasks)
+			if (this.manager.mayStart(from, task.team, task.size)) this.begin(this.manager, term, from, task);
+	}
+
+	private begin(manager: AllotmentManager, term: number, node: string, task: QuotaTask): void {
+		this.charges.set(task.id, manager.charges.add(task.team, node, task.size));
+		this.tellParent({ kind: "start", term, task });
+	}
+
+	// --- as a holder ---
+
+	private takeTerms(term: number, terms: unknown): void {
+		this.quota.takeTerms(term, terms);
+		const { settledBatch, incarnation } = terms as { settledBatch: number; incarnation: string };
+		if (incarnation !== this.config.incarnation || term < this.term) return;
+		const all = term > this.term;
+		this.term = term;
+		this.drop([...this.sent].filter(([, batch]) => all || batch <= settledBatch).map(([id]) => id));
+	}
+
+	private drop(ids: string[]): void {
+		for (const id of ids) this.sent.delete(id);
+		if (ids.length > 0) this.tellParent({ kind: "void", ids, at: machineMs() });
+	}
+
+	private admitOne(): void {
+		const [team] = this.config.teams[Math.floor(Math.random() * this.config.teams.length)] ?? [""];
+		const gpus = Math.random() < 0.3 ? 1000 : 0;
+		const size = { cpus: Math.random() < 0.5 ? 1000 : 500, gpus };
+		this.admit({ team, size, runMs: 5 + Math.random() * 40 });
+	}
+
+	private admit({ team, size, runMs }: { team: string; size: Amount; runMs: number }): void {
+		this.made += 1;
+		const id = `${this.config.incarnation}.${this.made}`;
+		const task = { id, team, size, runMs, admittedAt: machineMs() };
+		const term = this.leadership.authority();
+		const more = { cpus: size.cpus * 4, gpus: size.gpus * 4 };
+		if (term !== null) {
+			this.manager?.want(this.config.node, team, more);
+			if (!this.manager?.mayStart(this.config.node, team, size)) {
+				this.waits(team);
+				return;
+			}
+			this.tellParent({ kind: "admitted", task, voidAt: Number.POSITIVE_INFINITY });
+			this.served(team);
+			this.begin(this.manager, term, this.config.node, task);
+			return;
+		}
+		const admission = this.quota.admit(team, size);
+		if (admission.kind === "refused") {
+			if (admission.reason === "team at its limit")
+				this.tellParent({ kind: "refused", team, size, at: task.admittedAt });
+			this.waits(team);
+			this.propose([], [{ team, amount: more }]);
+			return;
+		}
+		const validMs = (this.quota.validUntil - this.time.now()) / this.config.rate;
+		const voidAt = validMs > 0 ? task.admittedAt + validMs : Number.POSITIVE_INFINITY;
+		this.tellParent({ kind: "admitted", task, voidAt });
+		this.served(team);
+		this.sent.set(id, this.quota.closeBatch());
+		this.propose([task], [{ team, amount: more }]);
+	}
+
+	private waits(team: string): void {
+		if (!this.waitingSince.has(team)) this.waitingSince.set(team, machineMs());
+	}
+
+	private served(team: string): void {
+		const since = this.waitingSince.get(team);
+		this.tellParent({ kind: "waited", ms: since === undefined ? 0 : machineMs() - since });
+		this.waitingSince.delete(team);
+	}
+
+	private propose(tasks: QuotaTask[], wanted?: { team: string; amount: Amount }[]): void {
+		if (this.leaderNode === "" || this.leaderNode === this.config.node) return;
+		this.links.send(this.leaderNode, {
+			kind: "propose",
+			epoch: this.term,
+			reply: this.quota.reply(wanted),
+			tasks,
+		});
+	}
+}
+
+if (process.argv[2]) {
+	new QuotaNode(JSON.parse(process.argv[2]) as NodeConfig).start();
+}
--- /dev/null
+++ b/tests/support/quota-processes.ts
@@ -0,0 +1,248 @@
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
+import { fileURLToPath } from "node:url";
+import type { Amount } from "#team-quota";
+import type { History } from "../../packages/team-quota/tests/support/history.js";
+import { type FromNode, machineMs, type NodeConfig, type QuotaTask, type ToNode } from "./quota-node.js";
+import { StateService } from "./state-service.js";
+
+const script = fileURLToPath(new URL("./quota-node.js", import.meta.url));
+
+interface Running {
+	task: QuotaTask;
+	startedAt: number;
+	endedAt: number | null;
+}
+
+interface Member {
+	config: NodeConfig;
+	child: ChildProcess;
+}
+
+/** Controllers as processes on loopback; this process is their store, their workers and their chronicler. */
+export class QuotaProcesses {
+	readonly state = new StateService({
+		now: () => performance.now(),
+		after: (ms, run) => {
+			setTimeout(run, ms).unref();
+			return { cancel() {} };
+		},
+	});
+	readonly waits: number[] = [];
+	readonly moments: { kind: "leads"; at: number }[] = [];
+	/** Part of the store's answers that are lost after it wrote. */
+	lostAnswers = 0;
+	storeWrites = 0;
+	private readonly members = new Map<string, Member>();
+	private readonly servers: Server[] = [];
+	private readonly admitted = new Map<string, { task: QuotaTask; voidAt: number }>();
+	private readonly running = new Map<string, Running>();
+	private readonly refusals: History["refusals"] = [];
+	private readonly limits: History["limits"] = [];
+	private term = 0;
+	private made = 0;
+
+	constructor(
+		private readonly teams: [string, { limit: Amount; guarantee: Amount }][],
+		private readonly busy: boolean,
+	) {}
+
+	async start(nodes: string[]): Promise<void> {
+		const ports = await Promise.all(nodes.map(freePort));
+		const addresses = nodes.map((node, i) => ({ node, domain: "d", addr: `127.0.0.1:${ports[i]}` }));
+		for (const [i, node] of nodes.entries()) {
+			const config: NodeConfig = {
+				node,
+				incarnation: "",
+				peerPort: ports[i] as number,
+				others: addresses.filter((other) => other.node !== node),
+				state: await this.serveStore(node),
+				teams: this.teams,
+				rate: 1 + (i - 1) * 0.0005,
+				busy: this.busy,
+			};
+			this.members.set(node, { config, child: this.spawn(config) });
+		}
+	}
+
+	private spawn(config: NodeConfig): ChildProcess {
+		this.made += 1;
+		config.incarnation = `p${this.made}`;
+		const child = fork(script, [JSON.stringify(config)], { serialization: "advanced" });
+		child.on("message", (message) => this.heard(child, message as FromNode));
+		return child;
+	}
+
+	get nodes(): string[] {
+		return [...this.members.keys()];
+	}
+
+	/** The node whose name is in the leader's key. */
+	get leader(): string | undefined {
+		return (this.state.rows.get("r/one/leader")?.v as { node: string } | undefined)?.node;
+	}
+
+	signal(node: string, signal: NodeJS.Signals): void {
+		this.members.get(node)?.child.kill(signal);
+	}
+
+	async restart(node: string): Promise<void> {
+		const member = this.members.get(node) as Member;
+		if (member.child.exitCode === null && member.child.signalCode === null) {
+			member.child.kill("SIGKILL");
+			await once(member.child, "exit");
+		}
+		this.drop([...this.admitted.keys()].filter((id) => id.startsWith(`${member.config.incarnation}.`)));
+		member.child = this.spawn(member.config);
+	}
+
+	/** What has not started by now never will; what has is in the chronicle for as long as it runs. */
+	private drop(ids: string[], at = machineMs()): void {
+		for (const id of ids) {
+			const entry = this.admitted.get(id);
+			if (entry) entry.voidAt = Math.min(entry.voidAt, at);
+		}
+	}
+
+	async stop(): Promise<void> {
+		for (const { child } of this.members.values()) child.kill("SIGKILL");
+		for (const server of this.servers) {
+			server.closeAllConnections();
+			server.close();
+		}
+	}
+
+	/** All ask for the same at the same moment. */
+	admitTogether(team: string, size: Amount, runMs: number): void {
+		const at = machineMs() + 4;
+		for (const { child } of this.members.values()) this.tell(child, { kind: "admit", team, size, runMs, at });
+	}
+
+	private tell(child: ChildProcess, message: ToNode): void {
+		if (child.connected) child.send(message, () => {});
+	}
+
+	// --- the store ---
+
+	private async serveStore(node: string): Promise<string> {
+		const server = createServer((request, response) => this.serve(node, request, response));
+		this.servers.push(server);
+		server.listen(0, "127.0.0.1");
+		await once(server, "listening");
+		return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	}
+
+	private async serve(node: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of request) chunks.push(chunk as Buffer);
+		const text = Buffer.concat(chunks).toString();
+		const body = text === "" ? undefined : JSON.parse(text);
+		const answer = await this.state.handle(request.method ?? "GET", request.url ?? "/", body, node);
+		if (request.url === "/multi" && answer.status === 200) this.written(body);
+		if (request.url === "/multi" && Math.random() < this.lostAnswers) return void request.socket.destroy();
+		response.writeHead(answer.status, { "content-type": "application/json" });
+		response.end(JSON.stringify(answer.body));
+	}
+
+	/** A call of an operator's command. */
+	async operatorCall(method: string, path: string, body: unknown) {
+		const answer = await this.state.handle(method, path, body, "operator");
+		if (path === "/multi" && answer.status === 200)
+			this.written(body as { then: { put?: string; v?: unknown }[] });
+		return answer;
+	}
+
+	/** Limits in force, as written; read here from the rows of numbers, with no code of the package. */
+	private written(body: { then: { put?: string; v?: unknown }[] }): void {
+		for (const { put, v } of body.then) {
+			if (!put?.startsWith("r/quota/")) continue;
+			this.storeWrites += 1;
+			const { teams } = v as { teams: Record<string, { limit: [number, number, number, number] }> };
+			for (const [team, { limit }] of Object.entries(teams)) {
+				const [cpus, gpus, guaranteedCpus, guaranteedGpus] = limit;
+				const change = { limit: [cpus, gpus] as const, guarantee: [guaranteedCpus, guaranteedGpus] as const };
+				this.limits.push({ team, at: machineMs(), ...change });
+			}
+		}
+	}
+
+	// --- the workers, and the chronicle ---
+
+	private heard(child: ChildProcess, message: FromNode): void {
+		switch (message.kind) {
+			case "leads":
+				this.term = Math.max(this.term, message.term);
+				this.moments.push({ kind: "leads", at: message.at });
+				this.tell(child, { kind: "running", term: message.term, tasks: this.stillRunning() });
+				break;
+			case "start":
+				this.startTask(message.term, message.task);
+				break;
+			case "admitted":
+				this.admitted.set(message.task.id, { task: message.task, voidAt: message.voidAt });
+				break;
+			case "void":
+				this.drop(message.ids, message.at);
+				break;
+			case "refused": {
+				const { team, size, at } = message;
+				this.refusals.push({ team, size: [size.cpus, size.gpus], at });
+				break;
+			}
+			case "waited":
+				this.waits.push(message.ms);
+		}
+	}
+
+	private stillRunning(): QuotaTask[] {
+		return [...this.running.values()].filter(({ endedAt }) => endedAt === null).map(({ task }) => task);
+	}
+
+	/** Workers drop what a leader of an earlier term sends. */
+	private startTask(term: number, task: QuotaTask): void {
+		if (term < this.term) return;
+		const entry: Running = { task, startedAt: machineMs(), endedAt: null };
+		this.running.set(task.id, entry);
+		setTimeout(() => {
+			entry.endedAt = machineMs();
+			for (const { child } of this.members.values()) this.tell(child, { kind: "ended", id: task.id });
+		}, task.runMs);
+	}
+
+	get started(): number {
+		return this.running.size;
+	}
+
+	history(): History {
+		const now = machineMs();
+		const tasks = [...this.admitted.values()].map(({ task, voidAt }) => {
+			const run = this.running.get(task.id);
+			return { task, endedAt: run ? run.endedAt : Math.max(task.admittedAt, Math.min(voidAt, now)) };
+		});
+		for (const [id, { task, endedAt }] of this.running)
+			if (!this.admitted.has(id)) tasks.push({ task, endedAt });
+		return {
+			tasks: tasks.map(({ task: { id, team, size, admittedAt }, endedAt }) => ({
+				id,
+				team,
+				size: [size.cpus, size.gpus],
+				admittedAt,
+				endedAt,
+			})),
+			refusals: this.refusals,
+			limits: this.limits,
+			staleMs: 3000,
+		};
+	}
+}
+
+async function freePort(): Promise<number> {
+	const server = createTcpServer().listen(0, "127.0.0.1");
+	await once(server, "listening");
+	const { port } = server.address() as AddressInfo;
+	server.close();
+	await once(server, "close");
+	return port;
+}
--- a/tests/support/state-service.ts
+++ b/tests/support/state-service.ts
@@ -35,7 +35,7 @@
 	/** Transactions that got 429. */
 	refusedForRate = 0;
 
-	constructor(private readonly time: FakeTime) {
+	constructor(private readonly time: Pick<FakeTime, "now" | "after">) {
 		this.expireOften();
 	}
 
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -2,7 +2,7 @@
 import { Controller } from "../../src/coordination/controller.js";
 import type { Log, TimePort } from "../../src/coordination/ports.js";
 import { defaultOperator } from "../../src/protocol/operator.js";
-import { type PlatformSettings, parsePlatform } from "../../src/protocol/settings.js";
+import { parsePlatform } from "../../src/protocol/settings.js";
 import { elsewhereBody, ordersBody, parseReport } from "../../src/protocol/worker-api.js";
 import { makeTeamQuota } from "../../src/team-quota.js";
 import { CloudClient } from "../../src/transport/cloud-client.js";
@@ -116,7 +116,17 @@
 /** Limits that the state service may come to have in a trace. */
 const nextLimits = "[cluster.state.next]\nvalue_kb = 0.6\ntxn_ops = 4\n";
 
-function settingsOf(node: string, nodes: string[], relayed: boolean, nextKnown: boolean): PlatformSettings {
+interface SettingsParts {
+	node: string;
+	nodes: string[];
+	relayed: boolean;
+	nextKnown: boolean;
+	state?: string;
+}
+
+/** The platform's settings file of a node. */
+export function settingsText(parts: SettingsParts): string {
+	const { node, nodes, relayed, nextKnown, state = "127.0.0.1:4" } = parts;
 	const others = nodes
 		.filter((n) => n !== node)
 		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
@@ -124,14 +134,14 @@
 		const cpus = Number.isFinite(most) ? most : 0;
 		return `[[cluster.teams]]\nname = "${name}"\ncpus = ${cpus / 2}\ncpus_max = ${cpus}\n`;
 	});
-	const text = `node = "${node}"
+	return `node = "${node}"
 domain = "z"
 front = "127.0.0.1:1"
 back = "127.0.0.1:2"
 ${others.join("\n")}
 [endpoints]
 cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
+state = "${state}"
 [cluster]
 nodes = ${nodes.length}
 zones = ["a", "b"]
@@ -149,7 +159,6 @@
 rps = 5.0
 list_lag_s = 1.0
 ${relayed ? tinyShare : ""}${nextKnown ? nextLimits : ""}`;
-	return parsePlatform("test settings", text);
 }
 
 /** Controllers, three if not said otherwise, between stand-ins of all that is around them, in fake time, with the rules watched. */
@@ -177,6 +186,8 @@
 	private readonly waitingSince = new Map<string, number>();
 	/** By trace: troubles that no stand-in shows, such as faults on links. */
 	troubled = false;
+	/** Limits of teams that were changed, and when they were in force. */
+	readonly changedLimits = new Map<string, number>();
 	/** Whether processes that start from now on are told of the limits to come. */
 	nextKnown = false;
 
@@ -184,7 +195,8 @@
 		capacity = 4,
 		readonly nodes: string[] = nodeNames,
 		private readonly relayed = false,
-		private readonly teamQuota = false,
+		/** Whether processes that start from now on divide limits. */
+		public teamQuota = false,
 	) {
 		const type = (sku: string, cores: number, rate: number) => ({
 			sku,
@@ -236,7 +248,8 @@
 		if (this.processes.has(node)) return;
 		this.incarnation += 1;
 		const id = `${node}#${this.incarnation}`;
-		const settings = settingsOf(node, this.nodes, this.relayed, this.nextKnown);
+		const { nodes, relayed, nextKnown } = this;
+		const settings = parsePlatform("test settings", settingsText({ node, nodes, relayed, nextKnown }));
 		const note =
 			(level: string) =>
 			(fields: object, message: string): void => {
@@ -501,7 +514,13 @@
 			const body = this.jobs.get(piece.split("/")[0] as string)?.body;
 			if (body?.desk === team) used += body.cores;
 		}
-		if (used > (teams[team] ?? 0) + 1e-9) this.broken.push(`quota: ${team} uses ${used}`);
+		if (used > (this.changedLimits.get(team) ?? teams[team] ?? 0) + 1e-9)
+			this.broken.push(`quota: ${team} uses ${used}`);
+	}
+
+	/** Tasks of the job that run. */
+	runningOf(job: string): number {
+		return [...this.on.keys()].filter((piece) => piece.startsWith(`${job}/`)).length;
 	}
 
 	private ended(worker: FakeWorker, piece: string): void {
--- /dev/null
+++ b/tests/team-quota.test.ts
@@ -0,0 +1,233 @@
+import assert from "node:assert/strict";
+import { execFile } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { type LimitRequest, type QuotaStore, type ShownTeam, setQuota, showQuotas } from "#team-quota";
+import { keys } from "../src/bookkeeping/records.js";
+import { defaultOperator, parseOperator } from "../src/protocol/operator.js";
+import { quotaStore } from "../src/team-quota.js";
+import { StoreClient } from "../src/transport/store-client.js";
+import { nodeNames, settingsText, World } from "./support/world.js";
+
+/** The state service as an operator's command reaches it. */
+function operatorStore(world: World): QuotaStore {
+	const http = {
+		call: (method: string, path: string, body: unknown) => world.state.handle(method, path, body, "operator"),
+		close() {},
+	};
+	return quotaStore(new StoreClient(http, world.time, 1000, 1000, 1));
+}
+
+const setLimit = (world: World, team: string, request: LimitRequest) =>
+	setQuota(operatorStore(world), keys.quota, team, request, world.time.date().getTime());
+
+async function shown(world: World, team: string): Promise<ShownTeam> {
+	return (await showQuotas(operatorStore(world), keys.quota, team)).teams[0] as ShownTeam;
+}
+
+async function withJob(tasks: number, capacity = 6): Promise<World> {
+	const world = new World(capacity, nodeNames, false, true);
+	await world.time.advance(2000);
+	await world.submit("runner-0", { id: "j-000001", pieces: tasks, cores: 1, runs: 400 });
+	await world.time.advance(20_000);
+	return world;
+}
+
+test("a lowered limit is pending until what runs above it has ended or is stopped, then nobody goes above it", async () => {
+	const world = await withJob(12);
+	assert.equal(world.runningOf("j-000001"), 8, "the platform's limit");
+	const answer = await setLimit(world, "red", { cpus: 3, guaranteedCpus: 1 });
+	assert.equal(answer.pending?.limit.cpus, 3);
+	await world.time.advance(40_000);
+	assert.equal(world.runningOf("j-000001"), 8, "preempt_after_s is not over");
+	await world.time.advance(40_000);
+	assert.equal(world.runningOf("j-000001"), 3);
+	const lowered = await shown(world, "red");
+	assert.deepEqual([lowered.limit.cpus, lowered.pending], [3, null]);
+	world.changedLimits.set("red", 3);
+	// A change of leader, and the next one goes by the record.
+	world.crash(world.leaderNode() as string);
+	await world.time.advance(40_000);
+	assert.equal(world.runningOf("j-000001"), 3);
+	const refused = await world.submit(world.leaderNode() as string, { id: "j-000002", pieces: 1, cores: 4 });
+	assert.equal(refused.status, 422, "one task needs more than the limit that holds");
+	world.changedLimits.set("red", 5);
+	await setLimit(world, "red", { cpus: 5 });
+	await world.time.advance(10_000);
+	assert.equal(world.runningOf("j-000001"), 5, "a higher one holds at once");
+	assert.deepEqual(world.broken, []);
+});
+
+test("limits are changed twice, in a takeover and while a controller is cut off; the last one holds", async () => {
+	const world = await withJob(12);
+	const leader = world.leaderNode() as string;
+	const other = nodeNames.find((node) => node !== leader) as string;
+	world.cutPeer(other, true);
+	await setLimit(world, "red", { cpus: 2, guaranteedCpus: 1 });
+	await setLimit(world, "red", { cpus: 4 });
+	world.crash(leader);
+	await world.time.advance(100_000);
+	world.cutPeer(other, false);
+	await world.time.advance(30_000);
+	assert.equal(world.runningOf("j-000001"), 4);
+	const { limit, guarantee, pending } = await shown(world, "red");
+	assert.deepEqual([limit.cpus, guarantee.cpus, pending], [4, 1, null]);
+	assert.deepEqual(world.broken, []);
+});
+
+test("a team goes on where its placer ends, and allotments of ended processes come back", async () => {
+	const world = await withJob(4);
+	for (const node of nodeNames) {
+		world.crash(node);
+		await world.time.advance(3000);
+		world.start(node);
+		await world.time.advance(1000);
+	}
+	await world.submit("runner-1", { id: "j-000002", pieces: 4, cores: 1, runs: 400 });
+	await world.submit("runner-1", { id: "j-000003", pieces: 8, cores: 1, runs: 400, desk: "blue" });
+	await world.time.advance(30_000);
+	assert.equal(world.runningOf("j-000002") + world.runningOf("j-000001"), 8);
+	assert.equal(world.runningOf("j-000003"), 8);
+	for (const team of ["red", "blue"])
+		assert.equal((await shown(world, team)).unallotted.cpus, 0, "no part of a limit is lost");
+	assert.deepEqual(world.broken, []);
+});
+
+test("inside allotments admission goes on while the state service is out", async () => {
+	const world = new World(6, nodeNames, false, true);
+	await world.time.advance(2000);
+	await world.submit("runner-0", { id: "j-000001", pieces: 12, cores: 1, runs: 30 });
+	await world.time.advance(20_000);
+	assert.equal(world.starts.size, 8);
+	world.state.setOutage(true);
+	await world.time.advance(40_000);
+	assert.equal(world.starts.size, 12, "what ended made room for the rest");
+	world.state.setOutage(false);
+	await world.time.advance(40_000);
+	assert.equal((await world.poll("runner-1", "j-000001")).body.status, "done");
+	assert.deepEqual(world.broken, []);
+});
+
+test("the older way holds until every controller takes part, and again where one that does not leads", async () => {
+	const world = new World(6, nodeNames);
+	world.crash("runner-1");
+	world.crash("runner-2");
+	world.teamQuota = true;
+	world.start("runner-1");
+	world.start("runner-2");
+	await world.time.advance(4000);
+	await world.submit("runner-0", { id: "j-000001", pieces: 12, cores: 1, runs: 400 });
+	await world.time.advance(20_000);
+	const records = () => [...world.state.rows.keys()].filter((key) => key.startsWith(keys.quota));
+	assert.deepEqual([world.runningOf("j-000001"), records()], [8, []]);
+	world.crash("runner-0");
+	world.start("runner-0");
+	await world.time.advance(20_000);
+	assert.deepEqual([world.runningOf("j-000001"), records().length], [8, 1]);
+	world.teamQuota = false;
+	for (const node of nodeNames) {
+		world.crash(node);
+		world.start(node);
+		await world.time.advance(8000);
+	}
+	assert.equal(world.runningOf("j-000001"), 8);
+	assert.deepEqual(world.broken, []);
+});
+
+test("records that are bad in every way are named, never an overshoot, and end no process", async () => {
+	const world = await withJob(12);
+	const key = [...world.state.rows.keys()].find((name) => name.startsWith(keys.quota)) as string;
+	const value = structuredClone(world.state.rows.get(key)?.v) as { teams: Record<string, unknown> };
+	const red = value.teams.red as { allotments: unknown[] };
+	const bad = [
+		{ ...red, allotments: [["runner-0", "x", -5, 0, 0, 0, 0]] },
+		{ ...red, allotments: [["runner-0", "x", 2 ** 53, 0, 0, 0, 0]] },
+		{ ...red, allotments: [["nobody", "x", 8000, 0, 0, 0, 0]] },
+		{ ...red, limit: ["many"] },
+	];
+	for (const record of bad) {
+		world.state.write(key, { teams: { ...value.teams, red: record, stranger: red } });
+		await world.time.advance(5000);
+		world.crash(world.leaderNode() as string);
+		await world.time.advance(12_000);
+		for (const node of nodeNames) world.start(node);
+		await world.time.advance(12_000);
+		assert.equal(world.runningOf("j-000001"), 8);
+	}
+	const named = world.logs.filter((line) => line.includes("a stored team limit cannot be read"));
+	assert.ok(named.some((line) => line.includes("allotments.0")));
+	assert.ok(named.some((line) => line.includes("limit")));
+	assert.deepEqual(
+		world.logs.filter((line) => line.includes("command failed")),
+		[],
+	);
+	assert.deepEqual(world.broken, []);
+});
+
+test("the operators' file has a section for team quota, and bad fields are refused by name", async () => {
+	assert.equal(defaultOperator().team_quota.enabled, false);
+	const given = readFileSync(new URL("../../../deploy/operator.yaml", import.meta.url), "utf8");
+	assert.equal((await parseOperator("operator.yaml", given)).team_quota.expiry_s, 2.5);
+	const refused = (text: string, field: RegExp) =>
+		assert.rejects(parseOperator("operator.yaml", text), field);
+	await refused("team_quota: { enable: true }", /team_quota.enable/);
+	await refused("team_quota: { expiry_s: 0 }", /team_quota.expiry_s/);
+	await refused("team_quota: { expiry_s: 1, margin_s: 0.6 }", /team_quota.margin_s/);
+});
+
+test("ramphub quota shows and sets limits, says why it does not, and exits with 0, 1 or 2", async () => {
+	const world = await withJob(2);
+	const server = createServer(async (request, response) => {
+		const chunks: Buffer[] = [];
+		for await (const chunk of request) chunks.push(chunk as Buffer);
+		const text = Buffer.concat(chunks).toString();
+		const body = text === "" ? undefined : JSON.parse(text);
+		const answer = await world.state.handle(request.method ?? "GET", request.url ?? "/", body, "operator");
+		response.writeHead(answer.status, { "content-type": "application/json" });
+		response.end(JSON.stringify(answer.body));
+	}).listen(0, "127.0.0.1");
+	await once(server, "listening");
+	const state = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const config = join(mkdtempSync(join(tmpdir(), "ramphub-")), "settings.toml");
+	writeFileSync(
+		config,
+		settingsText({ node: "runner-0", nodes: nodeNames, relayed: false, nextKnown: false, state }),
+	);
+	const main = fileURLToPath(new URL("../src/main.js", import.meta.url));
+	const quota = (...args: string[]) =>
+		new Promise<{ code: number; out: string; err: string }>((resolve) =>
+			execFile(process.execPath, [main, "quota", ...args, "--config", config], (error, out, err) =>
+				resolve({ code: typeof error?.code === "number" ? error.code : 0, out, err }),
+			),
+		);
+	try {
+		const all = JSON.parse((await quota("show", "--json")).out) as { teams: ShownTeam[] };
+		assert.deepEqual(
+			all.teams.map(({ team, limit }) => [team, limit.cpus]),
+			[
+				["blue", 8],
+				["guest", null],
+				["red", 8],
+			],
+		);
+		const set = await quota("set", "red", "--cpus", "9.5", "--guaranteed-cpus", "2");
+		assert.deepEqual([set.code, set.out.split("\n")[0]?.includes("limit 9.5 CPUs")], [0, true]);
+		assert.match((await quota("show", "red")).out, /revision 2/);
+		const above = await quota("set", "red", "--guaranteed-cpus", "10");
+		assert.deepEqual([above.code, /must not exceed the limit/.test(above.err)], [2, true]);
+		assert.equal((await quota("show", "green")).code, 2);
+		assert.equal((await quota("set", "red")).code, 2);
+		assert.equal((await quota("set", "red", "--cpus", "-1")).code, 2);
+		world.state.setOutage(true);
+		const out = await quota("show");
+		assert.deepEqual([out.code, /state service does not answer/.test(out.err)], [1, true]);
+	} finally {
+		server.close();
+	}
+});
