--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -1,7 +1,8 @@
-import { type Amount, isNothing, minus, nothing, plus, same, within } from "./amount.js";
+import { type Amount, inUnits, isNothing, minus, nothing, plus, same, within } from "./amount.js";
 import { type Charge, ChargeBook } from "./charges.js";
 import { clockDrift } from "./holder.js";
 import { HolderRegistry } from "./holder-registry.js";
+import { MoveLog } from "./move-log.js";
 import { type Allotment, allotmentOf, capOf, type LimitTerms, type QuotaRecord } from "./record.js";
 import { excess, firstRecord, type HolderView, stepRecord } from "./record-step.js";
 import type { QuotaStore, QuotaWriteResult, StoredCondition, StoredValues } from "./stored-values.js";
@@ -367,33 +368,34 @@
 		const before = new Map([...values.teams].map((team) => [team, values.record(team)]));
 		const teams = values.learn(key, value, revision);
 		this.stored(teams);
-		for (const team of teams) this.logChange(team, before.get(team), values.record(team), at);
+		const moves = new MoveLog();
+		for (const team of teams) this.noteChange(moves, team, before.get(team), values.record(team), at);
+		for (const [message, fields] of moves.lines()) this.options.log.info(fields, message);
 	}
 
 	/** Each recall, loss and change of limit once, with its reason. */
-	private logChange(
+	private noteChange(
+		moves: MoveLog,
 		team: string,
 		before: QuotaRecord | undefined,
 		after: QuotaRecord | undefined,
 		at: number,
-	) {
-		const { log } = this.options;
+	): void {
 		if (!before || !after) return;
-		if (before.revision !== after.revision)
-			log.info({ team, revision: after.revision, limit: after.inForce.limit }, "team limit in force");
-		for (const { node, amount, reclaiming, reason } of after.allotments) {
+		if (before.revision !== after.revision) {
+			const limit = { cpus: inUnits(after.inForce.limit.cpus), gpus: inUnits(after.inForce.limit.gpus) };
+			this.options.log.info({ team, revision: after.revision, limit }, "team limit in force");
+		}
+		for (const { node, amount, reason } of after.allotments) {
 			const old = allotmentOf(before, node);
-			if (reason !== null && old?.reason !== reason)
-				log.info({ team, holder: node, amount, reclaiming, reason }, "allotment recalled");
-			if (old && amount.cpus !== old.amount.cpus) this.movedAt.set(team, at);
+			if (reason !== null && old?.reason !== reason) moves.add("allotments recalled", node, reason, team);
+			if (old && !same(amount, old.amount)) this.movedAt.set(team, at);
 		}
-		for (const { node, incarnation, amount } of before.allotments) {
-			const now = allotmentOf(after, node);
-			if (!now || now.incarnation !== incarnation)
-				log.info(
-					{ team, holder: node, amount },
-					now ? "allotment of an ended process" : "allotment given up",
-				);
+		for (const { node, incarnation } of before.allotments) {
+			const held = allotmentOf(after, node);
+			if (!held) moves.add("allotments given up", node, null, team);
+			else if (held.incarnation !== incarnation)
+				moves.add("allotments of an ended process", node, null, team);
 		}
 	}
 
--- /dev/null
+++ b/packages/team-quota/tests/manager.test.ts
@@ -0,0 +1,256 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Amount, limitAmount, nothing, unlimited } from "../src/amount.js";
+import type { AllotmentManager } from "../src/manager.js";
+import type { LimitTerms } from "../src/record.js";
+import { TeamQuota } from "../src/team-quota.js";
+import type { QuotaTerms } from "../src/terms.js";
+import { HeldStore, settled } from "./support/held-store.js";
+
+const one: Amount = { cpus: 1000, gpus: 0 };
+const everything: Amount = { cpus: unlimited, gpus: unlimited };
+const expiryMs = 1000;
+const afterExpiryMs = 1100;
+
+/** A leader `a` and holders, with a clock and a store in the test's hand. */
+class Setup {
+	now = 0;
+	readonly store = new HeldStore();
+	readonly lines: string[] = [];
+	private made = 0;
+
+	constructor(
+		readonly teams: Map<string, LimitTerms> = new Map([
+			["red", { limit: limitAmount(4, 0), guarantee: limitAmount(2, 0) }],
+		]),
+		readonly nodes = ["a", "b", "c"],
+	) {}
+
+	process(node: string): TeamQuota {
+		this.made += 1;
+		const quota = new TeamQuota({
+			node,
+			incarnation: `p${this.made}`,
+			nodes: this.nodes,
+			teams: this.teams,
+			settings: { expiryMs, marginMs: 20, movePauseMs: 0 },
+			prefix: "quota/",
+			mostBytes: 13_000,
+			mostChanges: 12,
+			store: this.store,
+			now: () => this.now,
+			date: () => this.now,
+			post: (command) => command(),
+			log: { info: (_fields, message) => this.lines.push(message), error: () => {} },
+		});
+		for (const [key, row] of this.store.rowsByKey) quota.stored(key, row.value, row.revision);
+		return quota;
+	}
+
+	/** The manager's message reaches the holder, and its reply the manager. */
+	exchange(
+		leader: TeamQuota,
+		manager: AllotmentManager,
+		node: string,
+		holder: TeamQuota,
+		term: number,
+	): void {
+		const terms = manager.termsFor(node);
+		if (terms) holder.takeTerms(term, terms);
+		leader.heard(node, holder.reply());
+	}
+
+	async ticks(manager: AllotmentManager, count = 6): Promise<void> {
+		for (let i = 0; i < count; i++) {
+			this.now += 100;
+			await settled(() => manager.tick());
+		}
+	}
+
+	/** A leader with all of red's limit at the holder `b`. */
+	async dividedTo(holder: TeamQuota, term = 1): Promise<{ leader: TeamQuota; manager: AllotmentManager }> {
+		const leader = this.process("a");
+		const manager = leader.beginTerm({ key: "leader", revision: term });
+		manager.start();
+		leader.heard("b", holder.reply());
+		manager.prefer("b", "red");
+		manager.want("b", "red", everything);
+		for (let i = 0; i < 8; i++) {
+			this.exchange(leader, manager, "b", holder, term);
+			await this.ticks(manager, 2);
+		}
+		this.exchange(leader, manager, "b", holder, term);
+		return { leader, manager };
+	}
+}
+
+test("a holder judged lost and heard again while its allotment is being taken admits nothing more", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(holder);
+	assert.equal(holder.admit("red", one).kind, "admitted");
+	setup.store.prompt = false;
+	setup.now += afterExpiryMs;
+	await setup.ticks(manager, 1);
+	assert.equal(setup.store.writes.length > 0, true);
+	// Now it is heard: the leader's answer vouches for it again, and must not leave it what is taken.
+	leader.heard("b", holder.reply());
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	assert.ok(holder.validUntil > setup.now, "it is vouched for");
+	assert.equal(holder.admit("red", one).kind, "refused");
+	assert.equal(manager.mayStart("b", "red", one), false, "nor does an admission of before start");
+	// The write is lost and carried out late: the holder has nothing before the record is known again.
+	const lost = setup.store.writes.at(-1);
+	await lost?.lose();
+	leader.heard("b", holder.reply());
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	assert.equal(holder.admit("red", one).kind, "refused");
+});
+
+test("a new leader gives nobody what a holder that has not heard of it may be using", async () => {
+	const setup = new Setup();
+	const silent = setup.process("c");
+	const holder = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(holder);
+	// Half of the limit moves to c, which admits one task and is then not heard any more.
+	leader.heard("c", silent.reply());
+	manager.want("b", "red", one);
+	manager.want("c", "red", { cpus: 2000, gpus: 0 });
+	for (let i = 0; i < 8; i++) {
+		setup.exchange(leader, manager, "b", holder, 1);
+		setup.exchange(leader, manager, "c", silent, 1);
+		await setup.ticks(manager, 1);
+	}
+	assert.equal(holder.admit("red", one, 2).kind, "admitted");
+	// The next leader finds b's two tasks and charges them where most room is; c may still admit two.
+	const next = setup.process("a");
+	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
+	for (let i = 0; i < 2; i++) nextManager.chargeFound("red", one);
+	nextManager.start();
+	next.heard("b", holder.reply());
+	for (let i = 0; i < 3; i++) setup.exchange(next, nextManager, "b", holder, 2);
+	assert.equal(silent.admit("red", one, 2).kind, "admitted", "by what it knew of the term before");
+	const more = holder.admit("red", one, 4);
+	const inAll = 2 + 2 + (more.kind === "admitted" ? more.count : 0);
+	assert.ok(inAll <= 4, `${inAll} of 4`);
+});
+
+test("tasks charged to a holder beyond what it has leave as much unused elsewhere", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { manager } = await setup.dividedTo(holder);
+	const other = manager.charges.add("red", "c", { cpus: 3000, gpus: 0 });
+	setup.now += 10;
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	manager.charges.release(manager.charges.add("red", "b", one));
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	const admission = holder.admit("red", one, 4);
+	assert.deepEqual(admission, { kind: "admitted", count: 1 });
+	manager.charges.release(other);
+});
+
+test("a process that has led goes by nothing that it knew as a holder before", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	await setup.dividedTo(holder);
+	assert.equal(holder.admit("red", one).kind, "admitted");
+	holder.beginTerm({ key: "leader", revision: 2 });
+	holder.endTerm();
+	assert.deepEqual(holder.admit("red", one).kind, "refused");
+});
+
+test("late words of an ended process, and of a leader or a time before, change nothing", async () => {
+	const setup = new Setup();
+	const ended = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(ended);
+	const late = ended.reply();
+	const old = manager.termsFor("b") as QuotaTerms;
+	const restarted = setup.process("b");
+	for (let i = 0; i < 6; i++) {
+		setup.exchange(leader, manager, "b", restarted, 1);
+		await setup.ticks(manager, 2);
+	}
+	assert.equal(restarted.admit("red", one, 9).kind, "admitted", "the node's allotment is the new process's");
+	leader.heard("b", late);
+	assert.equal(manager.mayStart("b", "red", one), true);
+	restarted.takeTerms(1, old);
+	restarted.takeTerms(0, { ...old, incarnation: "p3", number: 999, teams: [] });
+	assert.deepEqual(restarted.admit("red", one, 9).kind, "refused", "it has admitted the whole limit already");
+	assert.equal(setup.lines.includes("allotments of an ended process"), true);
+});
+
+test("a batch that was lost, or comes late or twice, is never started", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(holder);
+	holder.admit("red", one, 2);
+	holder.closeBatch();
+	const lost = holder.reply();
+	setup.exchange(leader, manager, "b", holder, 1);
+	assert.equal(leader.heard("b", lost), false, "a later reply has settled it");
+	setup.exchange(leader, manager, "b", holder, 1);
+	assert.deepEqual(holder.admit("red", one, 9), { kind: "admitted", count: 4 }, "and its room is free again");
+	holder.closeBatch();
+	const reply = holder.reply();
+	assert.deepEqual([leader.heard("b", reply), leader.heard("b", reply)], [true, false]);
+});
+
+test("what is admitted counts until the leader has settled it, however long that takes", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(holder);
+	holder.admit("red", one, 3);
+	holder.closeBatch();
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	assert.deepEqual(holder.admit("red", one, 9), { kind: "admitted", count: 1 });
+	holder.closeBatch();
+	leader.heard("b", holder.reply());
+	const charge = manager.charges.add("red", "b", { cpus: 4000, gpus: 0 });
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	assert.deepEqual(holder.admit("red", one, 9).kind, "refused");
+	manager.charges.release(charge);
+	leader.heard("b", holder.reply());
+	holder.takeTerms(1, manager.termsFor("b") as QuotaTerms);
+	assert.deepEqual(holder.admit("red", one, 9), { kind: "admitted", count: 4 });
+});
+
+test("work of hundreds of teams in a fleet of 4,000 machines: values, writes, and what a message holds", async () => {
+	const teams = new Map<string, LimitTerms>();
+	for (let i = 0; i < 400; i++)
+		teams.set(`team-${i}`, { limit: limitAmount(160, 8), guarantee: limitAmount(80, 4) });
+	const setup = new Setup(teams, ["a", "b", "c", "d", "e"]);
+	const holder = setup.process("b");
+	const leader = setup.process("a");
+	const manager = leader.beginTerm({ key: "leader", revision: 1 });
+	manager.start();
+	for (const team of teams.keys()) {
+		manager.prefer("b", team);
+		manager.want("b", team, everything);
+	}
+	for (let i = 0; i < 30; i++) {
+		setup.exchange(leader, manager, "b", holder, 1);
+		await setup.ticks(manager, 1);
+	}
+	const bytes = [...setup.store.rowsByKey.values()].map((row) => JSON.stringify(row.value).length);
+	assert.ok(Math.max(...bytes) <= 13_000, `${Math.max(...bytes)} bytes`);
+	assert.ok(bytes.length <= 24, `${bytes.length} values`);
+	const { length: moves } = setup.store.writes;
+	assert.ok(moves <= 12, `${moves} transactions until all is with the placer`);
+	setup.exchange(leader, manager, "b", holder, 1);
+	// From then on what is written and told goes by what has changed, not by how many teams there are.
+	for (const team of teams.keys()) {
+		assert.equal(holder.admit(team, one, 100).kind, "admitted");
+		manager.charges.add(team, "b", { cpus: 100_000, gpus: 0 });
+	}
+	holder.closeBatch();
+	setup.exchange(leader, manager, "b", holder, 1);
+	setup.exchange(leader, manager, "b", holder, 1);
+	manager.charges.add("team-7", "b", one);
+	assert.deepEqual(
+		manager.termsFor("b")?.teams.map(({ team }) => team),
+		["team-7"],
+	);
+	await setup.ticks(manager, 10);
+	assert.equal(setup.store.writes.length, moves, "40,000 admissions and no write");
+	assert.deepEqual(manager.excess("team-7"), nothing);
+});
--- /dev/null
+++ b/packages/team-quota/tests/support/held-store.ts
@@ -0,0 +1,61 @@
+import type { QuotaStore, QuotaWriteResult, StoredChange, StoredCondition } from "../../src/stored-values.js";
+
+interface HeldWrite {
+	changes: StoredChange[];
+	/** Carries it out and answers. */
+	answer(): Promise<void>;
+	/** No answer comes; it may be carried out at some later time. */
+	lose(): Promise<void>;
+	carryOut(): QuotaWriteResult;
+}
+
+/** A store whose writes wait until a test says what becomes of them. */
+export class HeldStore implements QuotaStore {
+	readonly rowsByKey = new Map<string, { value: unknown; revision: number }>();
+	readonly writes: HeldWrite[] = [];
+	revision = 0;
+	/** Answer at once. */
+	prompt = true;
+
+	transact(conditions: StoredCondition[], changes: StoredChange[]): Promise<QuotaWriteResult> {
+		return new Promise((resolve, reject) => {
+			const carryOut = () => this.carryOut(conditions, changes);
+			const write: HeldWrite = {
+				changes,
+				carryOut,
+				answer: () => settled(() => resolve(carryOut())),
+				lose: () => settled(() => reject(new Error("no answer"))),
+			};
+			this.writes.push(write);
+			if (this.prompt) resolve(carryOut());
+		});
+	}
+
+	private carryOut(conditions: StoredCondition[], changes: StoredChange[]): QuotaWriteResult {
+		const keys = conditions
+			.filter(
+				({ key, revision }) => key !== "leader" && (this.rowsByKey.get(key)?.revision ?? 0) !== revision,
+			)
+			.map(({ key }) => key);
+		if (keys.length > 0) return { kind: "conflict", keys };
+		this.revision += 1;
+		for (const { key, value } of changes) this.rowsByKey.set(key, { value, revision: this.revision });
+		return { kind: "written", revision: this.revision };
+	}
+
+	async read(key: string) {
+		const row = this.rowsByKey.get(key);
+		return row ? { key, ...row } : null;
+	}
+
+	async rows(prefix: string) {
+		const rows = [...this.rowsByKey].map(([key, row]) => ({ key, ...row }));
+		return rows.filter(({ key }) => key.startsWith(prefix));
+	}
+}
+
+/** Until all that follows from it at once has happened. */
+export async function settled(act: () => void = () => {}): Promise<void> {
+	act();
+	for (let i = 0; i < 12; i++) await Promise.resolve();
+}
