--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -174,9 +174,18 @@
 	leader.heard("b", late);
 	assert.equal(manager.mayStart("b", "red", one), true);
 	restarted.takeTerms(1, old);
-	restarted.takeTerms(0, { ...old, incarnation: "p3", number: 999, teams: [] });
+	const generous = { team: "red", cap: everything, charged: nothing, free: everything };
+	restarted.takeTerms(0, { ...old, incarnation: "p3", number: 999, teams: [generous] });
 	assert.deepEqual(restarted.admit("red", one, 9).kind, "refused", "it has admitted the whole limit already");
 	assert.equal(setup.lines.includes("allotments of an ended process"), true);
+	// A leader that never knew the ended process hears of it last.
+	const next = setup.process("a");
+	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
+	nextManager.start();
+	next.heard("b", restarted.reply());
+	setup.exchange(next, nextManager, "b", restarted, 2);
+	next.heard("b", late);
+	assert.equal(nextManager.mayStart("b", "red", one), true);
 });
 
 test("a batch that was lost, or comes late or twice, is never started", async () => {
--- a/tests/quota-processes.test.ts
+++ b/tests/quota-processes.test.ts
@@ -1,10 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { limitAmount, type QuotaStore, setQuota } from "#team-quota";
+import { limitAmount, setQuota } from "#team-quota";
 import { doubled, faultsOf } from "../packages/team-quota/tests/support/history.js";
-import { quotaStore } from "../src/team-quota.js";
-import { StoreClient } from "../src/transport/store-client.js";
-import { QuotaProcesses } from "./support/quota-processes.js";
+import { operatorStore, QuotaProcesses } from "./support/quota-processes.js";
 
 /** The long form is a command of its own: see the README. */
 const rounds = Number(process.env.QUOTA_ROUNDS ?? 300);
@@ -92,15 +90,6 @@
 	}
 });
 
-function operatorStore(made: QuotaProcesses): QuotaStore {
-	const time = { now: () => performance.now(), date: () => new Date(), after: () => ({ cancel() {} }) };
-	const http = {
-		call: (method: string, path: string, body: unknown) => made.operatorCall(method, path, body),
-		close() {},
-	};
-	return quotaStore(new StoreClient(http, time, 1000, 1000, 1));
-}
-
 async function stopFor(made: QuotaProcesses, node: string, ms: number): Promise<void> {
 	made.signal(node, "SIGSTOP");
 	await pause(ms);
--- a/tests/support/quota-node.ts
+++ b/tests/support/quota-node.ts
@@ -22,6 +22,7 @@
 	/** Rate of its steady clock. */
 	rate: number;
 	busy: boolean;
+	leaderAlone: boolean;
 }
 
 export interface QuotaTask {
@@ -129,6 +130,7 @@
 
 	async start(): Promise<void> {
 		await this.links.listen("127.0.0.1", this.config.peerPort);
+		process.on("disconnect", () => process.exit(0));
 		process.on("message", (message) => this.fromParent(message as ToNode));
 		setInterval(() => this.tick(), 10);
 		for (;;) await this.follow().catch(() => new Promise((resolve) => setTimeout(resolve, 50)));
@@ -221,7 +223,14 @@
 		const term = this.leadership.authority();
 		if (term === null || !this.manager || !counts) return;
 		for (const task of tasks)
-			if (this.manager.mayStart(from, task.team, task.size)) this.begin(this.manager, term, from, task);
+			if (this.mayStart(this.manager, from, task)) this.begin(this.manager, term, from, task);
+	}
+
+	private mayStart(manager: AllotmentManager, node: string, { team, size }: QuotaTask): boolean {
+		if (!this.config.leaderAlone) return manager.mayStart(node, team, size);
+		const limit = new Map(this.config.teams).get(team)?.limit;
+		const used = manager.charges.total(team);
+		return limit !== undefined && used.cpus + size.cpus <= limit.cpus && used.gpus + size.gpus <= limit.gpus;
 	}
 
 	private begin(manager: AllotmentManager, term: number, node: string, task: QuotaTask): void {
@@ -260,7 +269,7 @@
 		const more = { cpus: size.cpus * 4, gpus: size.gpus * 4 };
 		if (term !== null) {
 			this.manager?.want(this.config.node, team, more);
-			if (!this.manager?.mayStart(this.config.node, team, size)) {
+			if (!this.manager || !this.mayStart(this.manager, this.config.node, task)) {
 				this.waits(team);
 				return;
 			}
@@ -269,6 +278,11 @@
 			this.begin(this.manager, term, this.config.node, task);
 			return;
 		}
+		if (this.config.leaderAlone) {
+			this.quota.closeBatch();
+			this.propose([task]);
+			return;
+		}
 		const admission = this.quota.admit(team, size);
 		if (admission.kind === "refused") {
 			if (admission.reason === "team at its limit")
@@ -306,6 +320,6 @@
 	}
 }
 
-if (process.argv[2]) {
+if (process.send && process.argv[2]) {
 	new QuotaNode(JSON.parse(process.argv[2]) as NodeConfig).start();
 }
--- a/tests/support/quota-processes.ts
+++ b/tests/support/quota-processes.ts
@@ -3,8 +3,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { fileURLToPath } from "node:url";
-import type { Amount } from "#team-quota";
+import type { Amount, QuotaStore } from "#team-quota";
 import type { History } from "../../packages/team-quota/tests/support/history.js";
+import { quotaStore } from "../../src/team-quota.js";
+import { StoreClient } from "../../src/transport/store-client.js";
 import { type FromNode, machineMs, type NodeConfig, type QuotaTask, type ToNode } from "./quota-node.js";
 import { StateService } from "./state-service.js";
 
@@ -35,18 +37,23 @@
 	/** Part of the store's answers that are lost after it wrote. */
 	lostAnswers = 0;
 	storeWrites = 0;
+	/** Limits of `red` that came into force. */
+	limitChanges = 0;
 	private readonly members = new Map<string, Member>();
 	private readonly servers: Server[] = [];
 	private readonly admitted = new Map<string, { task: QuotaTask; voidAt: number }>();
 	private readonly running = new Map<string, Running>();
 	private readonly refusals: History["refusals"] = [];
 	private readonly limits: History["limits"] = [];
+	private readonly lastLimits = new Map<string, number>();
 	private term = 0;
 	private made = 0;
 
 	constructor(
 		private readonly teams: [string, { limit: Amount; guarantee: Amount }][],
 		private readonly busy: boolean,
+		/** For comparison: the leader alone admits, and the others ask it. */
+		private readonly leaderAlone = false,
 	) {}
 
 	async start(nodes: string[]): Promise<void> {
@@ -62,6 +69,7 @@
 				teams: this.teams,
 				rate: 1 + (i - 1) * 0.0005,
 				busy: this.busy,
+				leaderAlone: this.leaderAlone,
 			};
 			this.members.set(node, { config, child: this.spawn(config) });
 		}
@@ -162,6 +170,9 @@
 			const { teams } = v as { teams: Record<string, { limit: [number, number, number, number] }> };
 			for (const [team, { limit }] of Object.entries(teams)) {
 				const [cpus, gpus, guaranteedCpus, guaranteedGpus] = limit;
+				const before = this.lastLimits.get(team);
+				this.lastLimits.set(team, cpus);
+				if (team === "red" && before !== undefined && before !== cpus) this.limitChanges += 1;
 				const change = { limit: [cpus, gpus] as const, guarantee: [guaranteedCpus, guaranteedGpus] as const };
 				this.limits.push({ team, at: machineMs(), ...change });
 			}
@@ -211,6 +222,11 @@
 		}, task.runMs);
 	}
 
+	/** From asking to the start at a worker, in milliseconds. */
+	startTimes(): number[] {
+		return [...this.running.values()].map(({ task, startedAt }) => startedAt - task.admittedAt);
+	}
+
 	get started(): number {
 		return this.running.size;
 	}
@@ -246,3 +262,13 @@
 	await once(server, "close");
 	return port;
 }
+
+/** The state service as an operator's command reaches it. */
+export function operatorStore(made: QuotaProcesses): QuotaStore {
+	const time = { now: () => performance.now(), date: () => new Date(), after: () => ({ cancel() {} }) };
+	const http = {
+		call: (method: string, path: string, body: unknown) => made.operatorCall(method, path, body),
+		close() {},
+	};
+	return quotaStore(new StoreClient(http, time, 1000, 1000, 1));
+}
