--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -1,19 +1,13 @@
-import { type Amount, inUnits, isNothing, minus, nothing, plus, same, within } from "./amount.js";
+import { AllotmentWriter, type AllotmentWriterOptions } from "./allotment-writer.js";
+import { type Amount, isNothing, minus, nothing, plus, same, within } from "./amount.js";
 import { type Charge, ChargeBook } from "./charges.js";
 import { clockDrift } from "./holder.js";
 import { HolderRegistry } from "./holder-registry.js";
-import { MoveLog } from "./move-log.js";
 import { type Allotment, allotmentOf, capOf, type LimitTerms, type QuotaRecord } from "./record.js";
 import { excess, firstRecord, type HolderView, stepRecord } from "./record-step.js";
-import type { QuotaStore, QuotaWriteResult, StoredCondition, StoredValues } from "./stored-values.js";
 import type { HolderReply, QuotaTerms, TeamTerms } from "./terms.js";
 
-export interface QuotaLog {
-	info(fields: object, message: string): void;
-	error(fields: object, message: string): void;
-}
-
-export interface ManagerOptions {
+export interface ManagerOptions extends Omit<AllotmentWriterOptions, "learned" | "moved"> {
 	/** The leader's node, which holds allotments like any other, and its process. */
 	node: string;
 	incarnation: string;
@@ -21,27 +15,16 @@
 	nodes: readonly string[];
 	/** The platform's settings, by team. */
 	settings: ReadonlyMap<string, LimitTerms>;
-	/** Holds as long as this process leads: a condition of every write. */
-	leaderCondition: StoredCondition;
-	values: StoredValues;
-	store: QuotaStore;
-	/** Steady time, and the time of day, in milliseconds. */
-	now(): number;
+	/** Time of day in milliseconds. */
 	date(): number;
-	/** Back into the queue of the process that owns all this. */
-	post(command: () => void): void;
-	log: QuotaLog;
 	expiryMs: number;
 	marginMs: number;
 	silentMs: number;
 	/** Least time between moves of one team's allotment. */
 	movePauseMs: number;
-	/** Most values that one transaction may change. */
-	mostChanges: number;
 }
 
-const writeEveryMs = 100;
-const retryMs = 300;
+const lookEveryMs = 100;
 
 /**
  * The leader's side: divides each team's limit among the controllers by compare-and-set in the state
@@ -51,12 +34,11 @@
 export class AllotmentManager {
 	readonly charges: ChargeBook;
 	private readonly registry: HolderRegistry;
+	private readonly writer: AllotmentWriter;
 	private readonly beganAt: number;
 	/** Tasks of earlier leaders are all known and charged. */
 	private started = false;
-	private ended = false;
-	private writing = false;
-	private nextWrite = Number.NEGATIVE_INFINITY;
+	private nextLookAt = Number.NEGATIVE_INFINITY;
 	/** Teams whose records may have to change. */
 	private readonly due = new Set<string>();
 	/**
@@ -74,11 +56,16 @@
 	constructor(private readonly options: ManagerOptions) {
 		this.beganAt = options.now();
 		this.registry = new HolderRegistry({ ...options, beganAt: this.beganAt });
+		this.writer = new AllotmentWriter({
+			...options,
+			learned: (teams) => this.recordsChanged(teams),
+			moved: (team) => this.movedAt.set(team, options.now()),
+		});
 		this.charges = new ChargeBook((team, node) => this.registry.changed(node, team, false));
 	}
 
 	end(): void {
-		this.ended = true;
+		this.writer.end();
 	}
 
 	/** What earlier leaders started is known and charged: from here on allotments count. */
@@ -237,8 +224,12 @@
 		return record ? excess(record, this.charges.total(team)) : nothing;
 	}
 
-	/** A stored value has changed, by this process or another. */
-	stored(teams: readonly string[]): void {
+	/** A stored value; undefined: it is gone. */
+	stored(key: string, value: unknown, revision: number): void {
+		this.writer.learn(key, value, revision);
+	}
+
+	private recordsChanged(teams: readonly string[]): void {
 		for (const team of teams) {
 			this.revoking.delete(team);
 			this.termsChanged(team);
@@ -251,8 +242,8 @@
 	/** Called often, with authority. */
 	tick(): void {
 		const now = this.options.now();
-		if (!this.started || this.writing || now < this.nextWrite || this.waitsForUnreadable(now)) return;
-		this.nextWrite = now + writeEveryMs;
+		if (!this.started || !this.writer.ready || now < this.nextLookAt || this.waitsForUnreadable(now)) return;
+		this.nextLookAt = now + lookEveryMs;
 		this.noticeHolders(now);
 		const next: QuotaRecord[] = [];
 		for (const team of [...this.due]) {
@@ -260,7 +251,7 @@
 			if (record !== this.recordOf(team)) next.push(record);
 			else if (this.settled(team, record, now)) this.due.delete(team);
 		}
-		if (next.length > 0) this.write(next, now);
+		this.writer.write(next);
 	}
 
 	private noticeHolders(now: number): void {
@@ -338,90 +329,4 @@
 		}
 		return views;
 	}
-
-	// --- writing ---
-
-	private write(records: QuotaRecord[], now: number): void {
-		const { values, mostChanges, leaderCondition, store, post } = this.options;
-		const writes = values.changesFor(records).slice(0, Math.max(1, mostChanges));
-		const changes = writes.map(({ change }) => change);
-		const conditions = [leaderCondition, ...writes.map(({ condition }) => condition)];
-		this.writing = true;
-		store.transact(conditions, changes).then(
-			(result) => post(() => this.answered(changes, result, now)),
-			(error) => post(() => this.uncertain(changes, error)),
-		);
-	}
-
-	private answered(changes: { key: string; value: unknown }[], result: QuotaWriteResult, at: number): void {
-		this.writing = false;
-		if (this.ended) return;
-		if (result.kind === "conflict") {
-			this.readBack(result.keys.filter((key) => key !== this.options.leaderCondition.key));
-			return;
-		}
-		for (const { key, value } of changes) this.learn(key, value, result.revision, at);
-	}
-
-	private learn(key: string, value: unknown, revision: number, at: number): void {
-		const { values } = this.options;
-		const before = new Map([...values.teams].map((team) => [team, values.record(team)]));
-		const teams = values.learn(key, value, revision);
-		this.stored(teams);
-		const moves = new MoveLog();
-		for (const team of teams) this.noteChange(moves, team, before.get(team), values.record(team), at);
-		for (const [message, fields] of moves.lines()) this.options.log.info(fields, message);
-	}
-
-	/** Each recall, loss and change of limit once, with its reason. */
-	private noteChange(
-		moves: MoveLog,
-		team: string,
-		before: QuotaRecord | undefined,
-		after: QuotaRecord | undefined,
-		at: number,
-	): void {
-		if (!before || !after) return;
-		if (before.revision !== after.revision) {
-			const limit = { cpus: inUnits(after.inForce.limit.cpus), gpus: inUnits(after.inForce.limit.gpus) };
-			this.options.log.info({ team, revision: after.revision, limit }, "team limit in force");
-		}
-		for (const { node, amount, reason } of after.allotments) {
-			const old = allotmentOf(before, node);
-			if (reason !== null && old?.reason !== reason) moves.add("allotments recalled", node, reason, team);
-			if (old && !same(amount, old.amount)) this.movedAt.set(team, at);
-		}
-		for (const { node, incarnation } of before.allotments) {
-			const held = allotmentOf(after, node);
-			if (!held) moves.add("allotments given up", node, null, team);
-			else if (held.incarnation !== incarnation)
-				moves.add("allotments of an ended process", node, null, team);
-		}
-	}
-
-	/** It may have been carried out, or still be: the conditions keep it from undoing anything later. */
-	private uncertain(changes: { key: string }[], error: unknown): void {
-		this.writing = false;
-		this.nextWrite = this.options.now() + retryMs;
-		this.options.log.info({ err: String(error) }, "allotments not written");
-		if (!this.ended) this.readBack(changes.map(({ key }) => key));
-	}
-
-	private readBack(keys: string[]): void {
-		const { store, post } = this.options;
-		this.writing = true;
-		Promise.all(keys.map(async (key) => ({ key, row: await store.read(key) }))).then(
-			(found) =>
-				post(() => {
-					this.writing = false;
-					const now = this.options.now();
-					for (const { key, row } of found) if (row) this.learn(key, row.value, row.revision, now);
-				}),
-			() =>
-				post(() => {
-					this.writing = false;
-					this.nextWrite = this.options.now() + retryMs;
-				}),
-		);
-	}
 }
--- a/packages/team-quota/src/team-quota.ts
+++ b/packages/team-quota/src/team-quota.ts
@@ -1,6 +1,7 @@
+import type { QuotaLog } from "./allotment-writer.js";
 import type { Amount } from "./amount.js";
 import { type Admission, AllotmentHolder } from "./holder.js";
-import { AllotmentManager, type QuotaLog } from "./manager.js";
+import { AllotmentManager } from "./manager.js";
 import type { LimitTerms } from "./record.js";
 import { usableTerms } from "./record-step.js";
 import { type QuotaStore, type StoredCondition, StoredValues } from "./stored-values.js";
@@ -61,8 +62,8 @@
 
 	/** News of a stored value; undefined: it is gone. */
 	stored(key: string, value: unknown, revision: number): void {
-		this.managing?.stored(this.values.learn(key, value, revision));
-		if (!this.managing) this.values.learn(key, value, revision);
+		if (this.managing) this.managing.stored(key, value, revision);
+		else this.values.learn(key, value, revision);
 	}
 
 	/** What the team may use for now, where records say something other than the platform's settings. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -3,11 +3,9 @@
 import type { TeamLimits } from "../bookkeeping/quotas.js";
 import { keys } from "../bookkeeping/records.js";
 import { StoreCopy } from "../bookkeeping/store-copy.js";
-import type { Order, WorkerReport } from "../protocol/model.js";
+import type { WorkerReport } from "../protocol/model.js";
 import type { OperatorSettings } from "../protocol/operator.js";
-import { unpackReport } from "../protocol/packed-report.js";
 import type {
-	ForwardedReports,
 	HeartbeatReply,
 	LeaderHeartbeat,
 	PeerMessage,
@@ -21,11 +19,10 @@
 import { Leadership } from "./leadership.js";
 import { MachineTypeCatalog } from "./machine-type-catalog.js";
 import { PeerMessageReader } from "./peer-message-reader.js";
-import { redirectedMs } from "./peer-monitor.js";
 import { placeAdmitted } from "./place-admitted.js";
 import { placeFirstFit } from "./placing.js";
 import type { CloudPort, Log, PeerPort, StorePort, TeamQuotaPort, TimePort, WorkerPort } from "./ports.js";
-import { AnswerBatches, Relay } from "./relay.js";
+import { type ActiveLeader, type ReportResult, ReportRouter } from "./report-router.js";
 import { StallDetector } from "./stall-detector.js";
 import { StoreSync } from "./store-sync.js";
 
@@ -42,14 +39,8 @@
 	teamQuota?(post: (command: () => void) => void): TeamQuotaPort | null;
 }
 
-export type ReportResult =
-	| { kind: "orders"; token: number; orders: Order[] }
-	| { kind: "elsewhere"; node: string | null };
-
 /** Others unheard for this long are taken to be out of reach. */
 const isolatedMs = 3000;
-const leaderSilentMs = 1200;
-const unexpectedTellMs = 100;
 
 /** One controller: the owner of its process's state. */
 export class Controller {
@@ -65,12 +56,7 @@
 	/** Steady time of the last word of any other controller, and of the last that the store answers it. */
 	private peerHeardAt = -Infinity;
 	private othersServedAt = -Infinity;
-	/** Machines that reported here lately, and when. */
-	private readonly unexpectedReports = new Map<string, number>();
-	private leaderHeard = { node: "", term: 0, at: -Infinity, hearing: true, relay: false };
-	private readonly relay: Relay;
-	private readonly answers: AnswerBatches;
-	private unexpectedToldAt = -Infinity;
+	private readonly reports: ReportRouter;
 	private readonly reader: PeerMessageReader;
 	private readonly machineTypes: MachineTypeCatalog;
 	private readonly teamQuota: TeamQuotaPort | null;
@@ -95,8 +81,6 @@
 		);
 		this.teamQuota = ports.teamQuota?.(post) ?? null;
 		this.storeSync = new StoreSync(this.storeCopy, store, time, post, log);
-		this.relay = new Relay(ports.peers, time);
-		this.answers = new AnswerBatches(ports.peers, time);
 		this.leadership = new Leadership(
 			platform.node,
 			incarnation,
@@ -140,6 +124,14 @@
 			(command) => this.commands.ask(command),
 			(id) => (this.leader ? this.leader.runningCount(id) : (this.running.get(id) ?? 0)),
 		);
+		this.reports = new ReportRouter({
+			self: platform.node,
+			peers: ports.peers,
+			time,
+			active: () => this.activeLeader(),
+			leaderInStore: () => this.storeCopy.leader?.value.node ?? null,
+			tellUnexpected: (leader, term) => this.sendHeartbeatReply(leader, term),
+		});
 		this.reader = new PeerMessageReader(log);
 		this.machineTypes = new MachineTypeCatalog({
 			cloud: ports.cloud,
@@ -198,8 +190,7 @@
 		this.ports.log.info({ stalledMs: Math.round(stalledMs) }, "this process stood still");
 		this.leadership.stalled();
 		this.storeSync.stalled();
-		this.relay.stalled();
-		this.answers.stalled();
+		this.reports.stalled();
 		this.leader?.stalled(stalledMs);
 	}
 
@@ -217,7 +208,7 @@
 		this.leadership.tick(this.storeCopy.leader, this.storeCopy.loaded);
 		if (this.leadership.authority() !== null) this.machineTypes.tick();
 		this.leader?.tick();
-		this.relay.tick();
+		this.reports.tick();
 	}
 
 	// --- leadership ---
@@ -241,7 +232,6 @@
 				this.commands.post(() => {
 					if (this.starting !== term || this.leadership.currentTerm !== term) return;
 					this.starting = null;
-					this.leaderHeard = { node: this.platform.node, term, at: -Infinity, hearing: true, relay: false };
 					this.leader = new Leader({
 						term,
 						self: this.platform.node,
@@ -256,7 +246,7 @@
 						teamQuota: this.teamQuota,
 						requestPrefix: `${this.platform.node}-${this.incarnation}-${term}`,
 					});
-					this.relay.newLeader(this.platform.node, term);
+					this.reports.leads(term);
 				}),
 			() => this.ports.time.after(100, () => this.commands.post(() => this.beginTerm(term))),
 		);
@@ -278,89 +268,25 @@
 	}
 
 	report(report: WorkerReport): Promise<ReportResult> {
-		return this.commands.ask(async () => {
-			const term = this.leadership.authority();
-			if (term !== null && this.leader) {
-				const relay = this.leader.relayFor(report.machine);
-				if (relay !== null) return { kind: "elsewhere", node: relay };
-				const orders = await this.answerTo(this.leader, term, report);
-				return orders ? { kind: "orders", token: term, orders } : { kind: "elsewhere", node: null };
-			}
-			const passedOn = this.passOn(report);
-			if (passedOn) return passedOn;
-			const now = this.ports.time.now();
-			this.unexpectedReports.set(report.machine, now);
-			const { node, hearing } = this.leaderHeard;
-			if (!hearing && now - this.unexpectedToldAt >= unexpectedTellMs) {
-				this.unexpectedToldAt = now;
-				this.sendHeartbeatReply(node, this.leaderHeard.term);
-			}
-			return { kind: "elsewhere", node: this.redirectTarget() };
-		});
+		return this.commands.ask(() => this.reports.report(report));
+	}
+
+	private activeLeader(): ActiveLeader | null {
+		const term = this.leadership.authority();
+		return term !== null && this.leader ? { term, leader: this.leader } : null;
 	}
 
 	private sendHeartbeatReply(leader: string, term: number): void {
 		const reply: HeartbeatReply = {
 			kind: "pong",
 			epoch: term,
-			strays: this.countUnexpectedReports(),
+			strays: this.reports.countUnexpected(),
 			standing: true,
 			...(this.teamQuota && { quota: this.teamQuota.reply() }),
 		};
 		this.ports.peers.send(leader, reply);
 	}
 
-	/** null: this node may not answer. */
-	private async answerTo(leader: Leader, term: number, report: WorkerReport): Promise<Order[] | null> {
-		const orders = await leader.report(report);
-		// Authority may have ended while the answer waited for places to be filled.
-		return this.leadership.authority() === term ? orders : null;
-	}
-
-	/** Where the leader wants reports passed on, the worker need not know who leads. */
-	private passOn(report: WorkerReport): Promise<ReportResult> | null {
-		const { term, at, relay } = this.leaderHeard;
-		if (!relay || report.token > term || this.ports.time.now() - at > leaderSilentMs) return null;
-		const taken = this.relay.take(report);
-		if (!taken) return null;
-		return taken.then((orders) => {
-			if (orders) return { kind: "orders", token: term, orders };
-			// The leader has changed while the worker waits: this is still its latest report.
-			return this.leaderHeard.term > term ? this.report(report) : { kind: "elsewhere", node: null };
-		});
-	}
-
-	private relayed(from: string, message: ForwardedReports): void {
-		const { epoch: term } = message;
-		const { leader } = this;
-		const leading = leader !== null && this.leadership.authority() === term;
-		for (const [number, packed] of message.reports) {
-			if (!leading) this.answers.add(from, term, number, null);
-			else
-				this.answerTo(leader, term, unpackReport(packed)).then((orders) =>
-					this.answers.add(from, term, number, orders),
-				);
-		}
-	}
-
-	private countUnexpectedReports(): number {
-		const from = this.ports.time.now() - redirectedMs;
-		for (const [machine, at] of this.unexpectedReports) if (at < from) this.unexpectedReports.delete(machine);
-		return this.unexpectedReports.size;
-	}
-
-	/**
-	 * The leader's key outlives a leader that crashed. A worker sent to it would hang there
-	 * while the next one waits to hear of every machine, so a silent leader is not named,
-	 * nor one that says itself that workers do not reach it.
-	 */
-	private redirectTarget(): string | null {
-		const leader = this.storeCopy.leader?.value.node ?? null;
-		if (leader === null || leader === this.platform.node) return null;
-		const { node, at, hearing } = this.leaderHeard;
-		return hearing && node === leader && this.ports.time.now() - at <= leaderSilentMs ? leader : null;
-	}
-
 	peerMessage(from: string, raw: unknown): void {
 		const message = this.reader.read(from, raw);
 		if (message) this.commands.post(() => this.handle(from, message));
@@ -368,7 +294,8 @@
 
 	private handle(from: string, message: PeerMessage): void {
 		this.peerHeardAt = this.ports.time.now();
-		if (message.kind === "running" || message.kind === "view") this.noteLeader(from, message);
+		if (message.kind === "running" || message.kind === "view")
+			this.reports.noteLeader(from, message, this.peerHeardAt);
 		switch (message.kind) {
 			case "view":
 				this.propose(from, message);
@@ -377,10 +304,10 @@
 				this.heartbeat(from, message);
 				break;
 			case "reports":
-				this.relayed(from, message);
+				this.reports.relayed(from, message);
 				break;
 			case "answers":
-				this.relay.answered(from, message.epoch, message.answers);
+				this.reports.answered(from, message);
 				break;
 			case "ask":
 			case "promise":
@@ -393,17 +320,8 @@
 		}
 	}
 
-	/** A late copy from an earlier leader tells nothing of now. */
-	private noteLeader(from: string, message: LeaderHeartbeat | PlacementRequest): void {
-		const { epoch: term } = message;
-		if (term < this.leaderHeard.term) return;
-		if (term > this.leaderHeard.term) this.relay.newLeader(from, term);
-		const { hearing, relay } = message.kind === "running" ? message : this.leaderHeard;
-		this.leaderHeard = { node: from, term, at: this.peerHeardAt, hearing, relay };
-	}
-
 	private heartbeat(from: string, message: LeaderHeartbeat): void {
-		// As above: what users are told must not go back.
+		// A late copy from an earlier leader: what users are told must not go back.
 		if (message.epoch < (this.storeCopy.leader?.revision ?? 0)) return;
 		if (message.served) this.othersServedAt = this.peerHeardAt;
 		this.running = new Map(message.counts);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,5 +1,5 @@
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-import type { Attempt, Job } from "../bookkeeping/jobs.js";
+import type { Job } from "../bookkeeping/jobs.js";
 import { Machine, unknownType } from "../bookkeeping/machines.js";
 import { type JobRecord, keys, type MachineRecord } from "../bookkeeping/records.js";
 import type { StoreCopy, Versioned } from "../bookkeeping/store-copy.js";
@@ -11,9 +11,9 @@
 import { ClusterState } from "./cluster-state.js";
 import { FeatureRecord } from "./feature-record.js";
 import { Fleet } from "./fleet.js";
-import { HeldReports } from "./held-reports.js";
 import { JobCompletion } from "./job-completion.js";
 import { drift } from "./leadership.js";
+import { MachineReports } from "./machine-reports.js";
 import { MachineWatch } from "./machine-watch.js";
 import { OrderSender } from "./order-sender.js";
 import { PeerMonitor } from "./peer-monitor.js";
@@ -30,9 +30,7 @@
 } from "./ports.js";
 import { PreemptionCycle } from "./preemption-cycle.js";
 import { ReplicaRelocation } from "./replica-relocation.js";
-import { type Applied, applyReport, ordersFor } from "./reports.js";
 import { SharedRecords, type SharedRecordsEnvironment } from "./shared-records.js";
-import { stopBeforeTaken } from "./spot-notice.js";
 import { Takeover } from "./takeover.js";
 import { TaskOutcomes } from "./task-outcomes.js";
 import { TeamAdmission } from "./team-admission.js";
@@ -77,12 +75,6 @@
 /** Values are written up to this part of the largest allowed. */
 const valuePart = 0.8;
 const auditEveryMs = 10_000;
-const answerHoldMs = 150;
-/** A machine without tasks is answered after this, or this part of a report interval, if nothing comes. */
-const idleHoldMs = 1500;
-const idleHoldPart = 0.6;
-/** A machine that reported within this part of an interval is worth being asked for its next report. */
-const reportedLatelyPart = 0.6;
 /** Of the sockets that the process may have, so many are for orders that go straight to workers. */
 const orderSocketsPart = 0.1;
 const leastOrdersInFlight = 8;
@@ -100,10 +92,8 @@
 	private readonly storeCopy: StoreCopy;
 	private readonly ports: LeaderPorts;
 	private readonly fleet: Fleet;
-	private readonly held: HeldReports;
+	private readonly reports: MachineReports;
 	private readonly orders: OrderSender;
-	private readonly outcomes: TaskOutcomes;
-	private readonly unwanted: UnwantedTasks;
 	private readonly completion: JobCompletion;
 	private readonly relocation: ReplicaRelocation;
 	private readonly preemption: PreemptionCycle;
@@ -116,12 +106,8 @@
 	private readonly featureRecord: FeatureRecord;
 	private readonly leaderQuota: LeaderQuotaPort | null;
 	private readonly teamAdmission: TeamAdmission | null;
-	/** Machines with starts decided and not yet sent. */
-	private readonly assigned = new Set<Machine>();
 	private readonly beganAt: number;
 	private ended = false;
-	/** Whether a task waits that may start, as found out in this batch; null: not looked yet. */
-	private waitingNow: boolean | null = null;
 	private nextAudit = 0;
 
 	constructor(private readonly options: LeaderOptions) {
@@ -145,9 +131,8 @@
 		const ordersInFlight = Math.max(leastOrdersInFlight, cluster.resources.fd_limit * orderSocketsPart);
 		this.watch = new MachineWatch(clusterState, this.beganAt, log);
 		this.orders = new OrderSender(term, Math.floor(ordersInFlight), ports.workers, active, post, log);
-		this.held = new HeldReports(time, post, (machine) => this.answerById(machine));
-		this.outcomes = new TaskOutcomes(clusterState, settings.machines.faulty_after, log);
-		this.unwanted = new UnwantedTasks(clusterState, ports.store, time, this.orders, {
+		const outcomes = new TaskOutcomes(clusterState, settings.machines.faulty_after, log);
+		const unwanted = new UnwantedTasks(clusterState, ports.store, time, this.orders, {
 			post,
 			active,
 			learned: (job, final, revision) => this.storeCopy.recordTerminal(job, final, revision),
@@ -183,7 +168,7 @@
 				this.teamAdmission && this.leaderQuota
 					? { admission: this.teamAdmission, leaderQuota: this.leaderQuota }
 					: null,
-			decided: (attempt) => this.decided(attempt),
+			decided: (attempt) => this.reports.decided(attempt),
 		});
 		const inOrder = (jobs: Job[]) => this.placement.inOrder(jobs);
 		this.preemption = new PreemptionCycle(clusterState, this.orders, inOrder, ports.random, log);
@@ -207,7 +192,7 @@
 				post,
 				active,
 				ended: () => this.ended,
-				apply: (report) => this.apply(report),
+				apply: (report) => this.reports.apply(report),
 				unlisted: (id) => this.fleet.unlisted(id),
 			},
 			log,
@@ -236,6 +221,22 @@
 			},
 			lostKey: () => this.lostKey(),
 		});
+		this.reports = new MachineReports({
+			term,
+			reportS: cluster.workers.report_s,
+			clusterState,
+			fleet: this.fleet,
+			orders: this.orders,
+			outcomes,
+			unwanted,
+			completion: this.completion,
+			lateness: this.lateness,
+			time,
+			log,
+			post,
+			active,
+			record: (machine) => this.record(machine),
+		});
 		this.rebuild();
 	}
 
@@ -263,7 +264,7 @@
 	end(): void {
 		this.ended = true;
 		this.leaderQuota?.end();
-		this.held.refuseAll();
+		this.reports.refuseAll();
 	}
 
 	private leaderCondition(): StoreCondition {
@@ -337,28 +338,7 @@
 
 	/** null: this process may not answer for the controllers. */
 	report(report: WorkerReport): Promise<Order[] | null> {
-		// A worker that has seen a later token drops our answer, and would wait here while its lease runs out.
-		if (!this.active || report.token > this.term) return Promise.resolve(null);
-		if (this.fleet.isGone(report.machine)) return Promise.resolve(null);
-		const now = this.ports.time.now();
-		const applied = this.apply(report);
-		// Of a type that nobody knows no task can be told from another: it gets no answer that keeps them.
-		if (applied === "expired" || applied === "unknown type") return Promise.resolve(null);
-		if (applied === "old") return Promise.resolve([]);
-		const machine = this.clusterState.machines.get(report.machine) as Machine;
-		machine.answeredAt = now;
-		if (!machine.durable) this.record(machine);
-		this.held.supersede(machine.id);
-		const waiting = this.anyWaiting(now);
-		const idle = machine.attempts.size === 0 && !waiting;
-		if (!machine.schedulable || machine.freeCpus <= 0 || !(waiting || idle))
-			return Promise.resolve(this.answer(machine));
-		// Freed places are filled in the same answer: the next one is a report interval away.
-		// A machine without tasks has nothing to report meanwhile and is answered when work comes.
-		const reportMs = this.platform.cluster.workers.report_s * 1000;
-		const holdMs = idle ? Math.min(idleHoldMs, reportMs * idleHoldPart) : answerHoldMs;
-		if (waiting) this.clusterState.placementDue = true;
-		return this.held.hold(machine.id, now + holdMs, idle);
+		return this.reports.report(report);
 	}
 
 	/** Prices move, and types may come and go. */
@@ -371,47 +351,6 @@
 		return this.peerMonitor.relayFor(id, this.ports.time.now());
 	}
 
-	private answer(machine: Machine): Order[] | null {
-		if (!this.active) return null;
-		machine.answeredAt = this.ports.time.now();
-		this.assigned.delete(machine);
-		return ordersFor(this.clusterState, machine);
-	}
-
-	private answerById(id: string): Order[] | null {
-		const machine = this.clusterState.machines.get(id);
-		return machine ? this.answer(machine) : null;
-	}
-
-	private apply(report: WorkerReport): Applied["kind"] {
-		const { clusterState, ports } = this;
-		const now = ports.time.now();
-		const toldBefore = clusterState.machines.get(report.machine)?.unwanted ?? [];
-		const applied = applyReport(clusterState, report, now);
-		if (applied.kind !== "applied") return applied.kind;
-		const { machine } = applied;
-		if (machine.unwanted.length > 0) this.unwanted.stop(machine, toldBefore);
-		machine.onlyListed = false;
-		if (applied.cameUp) this.fleet.cameUp(machine);
-		if (applied.isNew) ports.log.info({ machine: machine.id, type: machine.type.name }, "machine up");
-		for (const outcome of applied.outcomes) {
-			const { attempt, cause } = outcome;
-			if (attempt.job.standing) this.logReplica(attempt, `replica ended: ${cause}`);
-			this.outcomes.record(outcome, now);
-		}
-		// Not only by outcomes: a job's last tasks may have ended while nobody led.
-		for (const job of applied.progressed) this.completion.finishIfDone(job);
-		for (const attempt of applied.begun) this.logReplica(attempt, "replica runs");
-		for (const { job, index } of applied.vanished)
-			ports.log.info({ machine: machine.id, job: job.id, task: index }, "task vanished");
-		this.orders.stop(stopBeforeTaken(machine, now, this.platform.cluster.workers.report_s));
-		return "applied";
-	}
-
-	private logReplica({ job, index, machine }: Attempt, message: string): void {
-		this.ports.log.debug({ job: job.id, task: index, machine: machine.id, zone: machine.zone }, message);
-	}
-
 	// --- machines ---
 
 	/** A machine's record is written before the first start is sent to it. */
@@ -433,7 +372,7 @@
 	private machineGone(machine: Machine): void {
 		const held = this.clusterState.removeMachine(machine);
 		this.ports.log.info({ machine: machine.id, held }, "machine gone");
-		this.assigned.delete(machine);
+		this.reports.machineGone(machine);
 		// A record left behind only makes a later leader wait for a machine that is gone.
 		this.machineRecords.delete(machine.id);
 	}
@@ -478,7 +417,7 @@
 	stalled(stalledMs: number): void {
 		const now = this.ports.time.now();
 		this.lateness.resume(now);
-		this.held.refuseAll();
+		this.reports.refuseAll();
 		this.takeover.stalled(stalledMs);
 		this.placement.stalled();
 	}
@@ -495,7 +434,7 @@
 		this.peerMonitor.tick(now, () => this.runningCounts());
 		this.audit(now);
 		this.teamAdmission?.tick(now);
-		if (this.anyWaiting(now)) this.clusterState.placementDue = true;
+		if (this.reports.anyWaiting(now)) this.clusterState.placementDue = true;
 		this.preemption.tick(now);
 		this.relocation.tick(now);
 		this.maybePlace();
@@ -516,54 +455,18 @@
 
 	// --- placing ---
 
-	/** Looked up once a batch, however many reports it holds. */
-	private anyWaiting(now: number): boolean {
-		this.waitingNow ??= [...this.clusterState.jobs.values()].some(
-			(job) => job.waiting.length > 0 && job.notBefore <= now,
-		);
-		return this.waitingNow;
-	}
-
-	private decided(attempt: Attempt): void {
-		this.assigned.add(attempt.machine);
-		if (attempt.job.standing) this.logReplica(attempt, "replica start decided");
-	}
-
 	/** After each batch of commands. */
 	maybePlace(): void {
 		if (!this.active) return;
 		const now = this.ports.time.now();
 		this.placement.run(now);
-		for (const machine of this.clusterState.relocatedTo) this.assigned.add(machine);
+		for (const machine of this.clusterState.relocatedTo) this.reports.assign(machine);
 		this.clusterState.relocatedTo.clear();
 		if (this.placement.settled) {
-			if (this.assigned.size > 0) this.sendAssigned(now);
-			// Nothing more will be placed for now: whoever was held for that is answered.
-			if (!this.clusterState.placementDue) this.held.releaseWaiting();
-		}
-		this.waitingNow = null;
-	}
-
-	/**
-	 * Starts go to machines whose report waits for its answer. The others get theirs with
-	 * the next report, which a change of its tasks brings on: so one exited task is left
-	 * with each machine, to be forgotten by direct order when there is something to start.
-	 * A connection a start is too much when the processor is short.
-	 */
-	private sendAssigned(now: number): void {
-		const latelyMs = this.platform.cluster.workers.report_s * 1000 * reportedLatelyPart;
-		for (const machine of this.assigned) {
-			if (this.held.has(machine.id)) {
-				this.held.release(machine.id);
-				continue;
-			}
-			const { reminder: handle } = machine;
-			if (handle === null || this.lateness.busy || now - machine.reportedAt > latelyMs) continue;
-			machine.reminder = null;
-			const { job, index, attempt } = handle;
-			this.orders.send(machine, [{ op: "forget", job, index, attempt }]);
+			this.reports.sendAssigned(now);
+			if (!this.clusterState.placementDue) this.reports.releaseWaiting();
 		}
-		this.assigned.clear();
+		this.reports.endBatch();
 	}
 
 	// --- other controllers ---
--- /dev/null
+++ b/src/coordination/report-router.ts
@@ -0,0 +1,165 @@
+import type { Order, WorkerReport } from "../protocol/model.js";
+import { unpackReport } from "../protocol/packed-report.js";
+import type {
+	ForwardedAnswers,
+	ForwardedReports,
+	LeaderHeartbeat,
+	PlacementRequest,
+} from "../protocol/peer.js";
+import type { Leader } from "./leader.js";
+import { redirectedMs } from "./peer-monitor.js";
+import type { PeerPort, TimePort } from "./ports.js";
+import { AnswerBatches, Relay } from "./relay.js";
+
+export type ReportResult =
+	| { kind: "orders"; token: number; orders: Order[] }
+	| { kind: "elsewhere"; node: string | null };
+
+/** The leader of a term, as far as this process acts for it. */
+export interface ActiveLeader {
+	term: number;
+	leader: Leader;
+}
+
+export interface ReportRouterOptions {
+	/** This node. */
+	self: string;
+	peers: PeerPort;
+	time: TimePort;
+	/** null: this process does not lead, or may not act. */
+	active(): ActiveLeader | null;
+	/** The node in the leader's key, as this process's copy of the store has it. */
+	leaderInStore(): string | null;
+	/** Tells the leader how many workers turn to this node. */
+	tellUnexpected(leader: string, term: number): void;
+}
+
+/** A leader unheard for longer than this is not named to workers, and gets no reports passed on. */
+const leaderSilentMs = 1200;
+const unexpectedTellMs = 100;
+
+interface HeardLeader {
+	node: string;
+	term: number;
+	/** Steady time. */
+	at: number;
+	/** Most workers reach it. */
+	hearing: boolean;
+	/** It wants reports passed on to it. */
+	relay: boolean;
+}
+
+/** Brings each worker's report to the leader: here, by passing it on, or by naming another node. */
+export class ReportRouter {
+	private readonly relay: Relay;
+	private readonly answers: AnswerBatches;
+	/** Machines that reported here lately though this node does not lead, and when. */
+	private readonly unexpectedReports = new Map<string, number>();
+	private unexpectedToldAt = -Infinity;
+	private leaderHeard: HeardLeader = { node: "", term: 0, at: -Infinity, hearing: true, relay: false };
+
+	constructor(private readonly options: ReportRouterOptions) {
+		this.relay = new Relay(options.peers, options.time);
+		this.answers = new AnswerBatches(options.peers, options.time);
+	}
+
+	async report(report: WorkerReport): Promise<ReportResult> {
+		const active = this.options.active();
+		if (active) {
+			const relay = active.leader.relayFor(report.machine);
+			if (relay !== null) return { kind: "elsewhere", node: relay };
+			const orders = await this.answerTo(active, report);
+			return orders ? { kind: "orders", token: active.term, orders } : { kind: "elsewhere", node: null };
+		}
+		const passedOn = this.passOn(report);
+		if (passedOn) return passedOn;
+		this.noteUnexpected(report.machine, this.options.time.now());
+		return { kind: "elsewhere", node: this.redirectTarget() };
+	}
+
+	private noteUnexpected(machine: string, now: number): void {
+		this.unexpectedReports.set(machine, now);
+		const { node, term, hearing } = this.leaderHeard;
+		if (hearing || now - this.unexpectedToldAt < unexpectedTellMs) return;
+		this.unexpectedToldAt = now;
+		this.options.tellUnexpected(node, term);
+	}
+
+	/** null: this node may not answer. */
+	private async answerTo({ leader, term }: ActiveLeader, report: WorkerReport): Promise<Order[] | null> {
+		const orders = await leader.report(report);
+		// Authority may have ended while the answer waited for places to be filled.
+		return this.options.active()?.term === term ? orders : null;
+	}
+
+	/** Where the leader wants reports passed on, the worker need not know who leads. */
+	private passOn(report: WorkerReport): Promise<ReportResult> | null {
+		const { term, at, relay } = this.leaderHeard;
+		if (!relay || report.token > term || this.options.time.now() - at > leaderSilentMs) return null;
+		const taken = this.relay.take(report);
+		if (!taken) return null;
+		return taken.then((orders) => {
+			if (orders) return { kind: "orders", token: term, orders };
+			// The leader has changed while the worker waits: this is still its latest report.
+			return this.leaderHeard.term > term ? this.report(report) : { kind: "elsewhere", node: null };
+		});
+	}
+
+	/** Reports that another node passes on to this one as the leader. */
+	relayed(from: string, { epoch: term, reports }: ForwardedReports): void {
+		const active = this.options.active();
+		for (const [number, packed] of reports) {
+			if (active?.term !== term) this.answers.add(from, term, number, null);
+			else
+				this.answerTo(active, unpackReport(packed)).then((orders) =>
+					this.answers.add(from, term, number, orders),
+				);
+		}
+	}
+
+	answered(from: string, { epoch, answers }: ForwardedAnswers): void {
+		this.relay.answered(from, epoch, answers);
+	}
+
+	countUnexpected(): number {
+		const from = this.options.time.now() - redirectedMs;
+		for (const [machine, at] of this.unexpectedReports) if (at < from) this.unexpectedReports.delete(machine);
+		return this.unexpectedReports.size;
+	}
+
+	/**
+	 * The leader's key outlives a leader that crashed. A worker sent to it would hang there
+	 * while the next one waits to hear of every machine, so a silent leader is not named,
+	 * nor one that says itself that workers do not reach it.
+	 */
+	private redirectTarget(): string | null {
+		const leader = this.options.leaderInStore();
+		if (leader === null || leader === this.options.self) return null;
+		const { node, at, hearing } = this.leaderHeard;
+		return hearing && node === leader && this.options.time.now() - at <= leaderSilentMs ? leader : null;
+	}
+
+	/** A late copy from an earlier leader tells nothing of now. */
+	noteLeader(from: string, message: LeaderHeartbeat | PlacementRequest, at: number): void {
+		const { epoch: term } = message;
+		if (term < this.leaderHeard.term) return;
+		if (term > this.leaderHeard.term) this.relay.newLeader(from, term);
+		const { hearing, relay } = message.kind === "running" ? message : this.leaderHeard;
+		this.leaderHeard = { node: from, term, at, hearing, relay };
+	}
+
+	/** This node leads from now on. */
+	leads(term: number): void {
+		this.leaderHeard = { node: this.options.self, term, at: -Infinity, hearing: true, relay: false };
+		this.relay.newLeader(this.options.self, term);
+	}
+
+	stalled(): void {
+		this.relay.stalled();
+		this.answers.stalled();
+	}
+
+	tick(): void {
+		this.relay.tick();
+	}
+}
--- a/src/transport/public-api.ts
+++ b/src/transport/public-api.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { getRequestListener } from "@hono/node-server";
 import { Hono } from "hono";
-import type { ReportResult } from "../coordination/controller.js";
 import type { JobLookup, SubmitResult } from "../coordination/job-service.js";
 import type { Log } from "../coordination/ports.js";
+import type { ReportResult } from "../coordination/report-router.js";
 import { MalformedMessageError } from "../protocol/checks.js";
 import type { JobSpec, WorkerReport } from "../protocol/model.js";
 import { paths } from "../protocol/paths.js";
