Team quota: a scrub of records, charges and what runs; allotments follow charges

Every 10 s the leader compares stored records, charges and its own count, and logs once what differs twice in a row. Cause: who uses more than it holds was not looked at when moves are decided. Now the allotment follows; a test fails without it.

--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -5,6 +5,7 @@
 import { HolderRegistry } from "./holder-registry.js";
 import { type Allotment, allotmentOf, capOf, type LimitTerms, type QuotaRecord } from "./record.js";
 import { excess, firstRecord, type HolderView, stepRecord } from "./record-step.js";
+import { differences, Scrub } from "./scrub.js";
 import type { HolderReply, QuotaTerms, TeamTerms } from "./terms.js";
 
 export interface ManagerOptions extends Omit<AllotmentWriterOptions, "learned" | "moved"> {
@@ -49,6 +50,7 @@
 	private readonly revoking = new Map<string, Set<string>>();
 	/** The holders heard at the last look. */
 	private heardBefore = "";
+	private readonly scrubbing = new Scrub();
 	private readonly wanted = new Map<string, Map<string, Amount>>();
 	private readonly preferred = new Map<string, string>();
 	private readonly movedAt = new Map<string, number>();
@@ -61,7 +63,7 @@
 			learned: (teams) => this.recordsChanged(teams),
 			moved: (team) => this.movedAt.set(team, options.now()),
 		});
-		this.charges = new ChargeBook((team, node) => this.registry.changed(node, team, false));
+		this.charges = new ChargeBook((team, node) => this.chargesChanged(team, node));
 	}
 
 	end(): void {
@@ -76,6 +78,13 @@
 		this.allDue();
 	}
 
+	/** An allotment follows what is charged beyond it. */
+	private chargesChanged(team: string, node: string): void {
+		this.registry.changed(node, team, false);
+		const held = this.allotmentAt(node, team)?.amount ?? nothing;
+		if (!within(this.charges.of(team, node), held)) this.due.add(team);
+	}
+
 	private allDue(): void {
 		for (const team of this.options.settings.keys()) this.due.add(team);
 	}
@@ -224,6 +233,24 @@
 		return record ? excess(record, this.charges.total(team)) : nothing;
 	}
 
+	/** Compares records and charges with what runs by another count, and logs what differs for long. */
+	scrub(running: ReadonlyMap<string, { amount: Amount; tolerance: Amount }>): void {
+		if (!this.started) return;
+		const found = [...running].flatMap(([team, { amount, tolerance }]) => {
+			const record = this.recordOf(team);
+			if (!record) return [];
+			return differences({
+				record,
+				nodes: this.options.nodes,
+				charged: (node) => this.charges.of(team, node),
+				total: this.charges.total(team),
+				running: amount,
+				tolerance,
+			});
+		});
+		for (const { what, ...fields } of this.scrubbing.lasting(found)) this.options.log.error(fields, what);
+	}
+
 	/** A stored value; undefined: it is gone. */
 	stored(key: string, value: unknown, revision: number): void {
 		this.writer.learn(key, value, revision);
--- a/packages/team-quota/src/planner.ts
+++ b/packages/team-quota/src/planner.ts
@@ -95,12 +95,12 @@
 	return kept;
 }
 
-/** Whether somebody wants more than it may admit against and has less than its share. */
+/** Whether somebody uses or wants more than it may admit against, and has less than its share. */
 export function anyShort(holders: readonly HolderNeeds[], plan: ReadonlyMap<string, Amount>): boolean {
-	return holders.some(({ node, held, wanted }) => {
+	return holders.some(({ node, held, used, wanted }) => {
 		const target = plan.get(node);
 		if (!target) return false;
-		const lacking = minus(lesser(target, greater(wanted, held)), held);
+		const lacking = minus(lesser(target, greater(wanted, used)), held);
 		return lacking.cpus > 0 || lacking.gpus > 0;
 	});
 }
--- a/packages/team-quota/src/quota-service.ts
+++ b/packages/team-quota/src/quota-service.ts
@@ -21,6 +21,9 @@
 }
 
 const amountOf = ({ cpus, gpus }: TaskDemand): Amount => demandAmount(cpus, gpus);
+const oneThousandth: Amount = { cpus: 1, gpus: 1 };
+/** Sizes are rounded up to thousandths, which is this part of a task of a tenth of a CPU. */
+const roundingPart = 0.01;
 /** The preferred controller is to hold all that nobody else asks for. */
 const everything: Amount = { cpus: unlimited, gpus: unlimited };
 
@@ -147,6 +150,15 @@
 		this.manager.want(this.self, team, wanted);
 	}
 
+	/** What runs by the scheduler's own count, which rounds nothing: charges may be more by a little for each task. */
+	scrub(running: readonly TaskDemand[]): void {
+		const counted = running.map((use): [string, { amount: Amount; tolerance: Amount }] => {
+			const tolerance = demandAmount(use.cpus * roundingPart, use.gpus * roundingPart);
+			return [use.team, { amount: amountOf(use), tolerance: plus(tolerance, oneThousandth) }];
+		});
+		this.manager.scrub(new Map(counted));
+	}
+
 	/** What the team runs above a lower limit that is pending; null: nothing. */
 	excess(team: string): { cpus: number; gpus: number } | null {
 		const excess = this.manager.excess(team);
--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -18,6 +18,7 @@
 	now = 0;
 	readonly store = new HeldStore();
 	readonly lines: string[] = [];
+	readonly errors: string[] = [];
 	private made = 0;
 
 	constructor(
@@ -42,7 +43,10 @@
 			now: () => this.now,
 			date: () => this.now,
 			post: (command) => command(),
-			log: { info: (_fields, message) => this.lines.push(message), error: () => {} },
+			log: {
+				info: (_fields, message) => this.lines.push(message),
+				error: (_fields, message) => this.errors.push(message),
+			},
 		});
 		for (const [key, row] of this.store.rowsByKey)
 			if (key !== "leader") quota.stored(key, row.value, row.revision);
@@ -170,6 +174,25 @@
 	manager.charges.release(other);
 });
 
+test("allotments follow tasks that are charged to a holder without any", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { leader, manager } = await setup.dividedTo(holder);
+	manager.charges.add("red", "a", { cpus: 3000, gpus: 0 });
+	for (let i = 0; i < 6; i++) {
+		setup.exchange(leader, manager, "b", holder, 1);
+		await setup.ticks(manager, 1);
+	}
+	const { teams } = await showQuotas(setup.store, "quota/", "red");
+	assert.deepEqual(
+		teams[0]?.allotments.map(({ node, amount }) => [node, amount.cpus]),
+		[
+			["a", 3],
+			["b", 1],
+		],
+	);
+});
+
 test("a process that has led goes by nothing that it knew as a holder before", async () => {
 	const setup = new Setup();
 	const holder = setup.process("b");
@@ -244,6 +267,31 @@
 	assert.deepEqual(holder.admit("red", one, 9), { kind: "admitted", count: 4 });
 });
 
+test("a scrub tells what differs for long, once: records, charges, and what runs", async () => {
+	const setup = new Setup();
+	const holder = setup.process("b");
+	const { manager } = await setup.dividedTo(holder);
+	const running = (cpus: number) =>
+		manager.scrub(new Map([["red", { amount: { cpus, gpus: 0 }, tolerance: { cpus: 1, gpus: 1 } }]]));
+	const told = () => setup.errors.splice(0);
+	const charge = manager.charges.add("red", "b", one);
+	for (let i = 0; i < 3; i++) running(1000);
+	assert.deepEqual(told(), []);
+	// Forgotten by one of the two counts.
+	running(2000);
+	assert.deepEqual(told(), [], "for a moment it may be so");
+	running(2000);
+	running(2000);
+	assert.deepEqual(told(), ["charges are not what runs"]);
+	running(1000);
+	manager.charges.add("red", "c", one);
+	for (let i = 0; i < 3; i++) running(2000);
+	assert.deepEqual(told(), ["a holder is charged with more than it has"]);
+	manager.charges.release(charge);
+	for (let i = 0; i < 5; i++) running(1000 + i * 100);
+	assert.deepEqual(told(), ["charges are not what runs"]);
+});
+
 test("work of hundreds of teams in a fleet of 4,000 machines: values, writes, and what a message holds", async () => {
 	const teams = new Map<string, LimitTerms>();
 	for (let i = 0; i < 400; i++)
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -123,6 +123,8 @@
 	prefer(team: string, preferred: string, nodes: readonly string[]): void;
 	/** This node is to admit so many tasks, whoever is preferred; 0: no longer. */
 	need(demand: Demand, count: number): void;
+	/** By the leader's own count, to be compared with what is charged. */
+	scrub(running: readonly Demand[]): void;
 	/** What the team runs above a lower limit that is pending. */
 	excess(team: string): { cpus: number; gpus: number } | null;
 }
--- a/src/coordination/team-admission.ts
+++ b/src/coordination/team-admission.ts
@@ -7,6 +7,7 @@
 import type { LeaderQuotaPort, Log, TeamQuotaPort } from "./ports.js";
 
 const limitsEveryMs = 500;
+const scrubEveryMs = 10_000;
 
 export interface TeamAdmissionOptions {
 	quota: TeamQuotaPort;
@@ -33,6 +34,7 @@
 	/** Controllers that place, as of the last change. */
 	private placers: readonly string[] = [];
 	private nextLimitsAt = 0;
+	private nextScrubAt = 0;
 	/** What this node has asked for itself, by team. */
 	private needs = new Map<string, Job>();
 	/** Steady time since which a team has run above a lower limit. */
@@ -51,11 +53,20 @@
 		if (!this.started) return;
 		this.preferPlacers(now);
 		this.options.leaderQuota.tick();
+		this.scrub(now);
 		if (now < this.nextLimitsAt) return;
 		this.nextLimitsAt = now + limitsEveryMs;
 		for (const team of [...this.options.clusterState.quotas.names]) this.followLimit(team, now);
 	}
 
+	/** The leader's own count and the charges are kept apart, so each shows a fault of the other. */
+	private scrub(now: number): void {
+		if (now < this.nextScrubAt) return;
+		this.nextScrubAt = now + scrubEveryMs;
+		const { quotas } = this.options.clusterState;
+		this.options.leaderQuota.scrub([...quotas.names].map((team) => ({ team, ...quotas.use(team) })));
+	}
+
 	/** Only once all that may run is known, so that it can be charged. */
 	private considerStart(): void {
 		const { clusterState, leaderQuota, log } = this.options;
--- a/tests/support/trace-player.ts
+++ b/tests/support/trace-player.ts
@@ -38,6 +38,11 @@
 		await this.world.checkKnown();
 		this.world.checkCancelled();
 		assert.deepEqual(this.world.broken, [], this.world.logs.slice(-20).join("\n"));
+		const differing = / (charges are not what runs|a holder is charged with more than it has) /;
+		assert.deepEqual(
+			this.world.logs.filter((line) => differing.test(line)),
+			[],
+		);
 		assert.ok(this.checks > 0, "a trace must expect something");
 		assert.ok(this.world.starts.size > 0, "nothing ran");
 	}
