Team quota: a reply names the term of the update that it confirms

What callers saw: nothing in service so far. In trials a task started whose admission its holder had dropped, and a late reply of an ended process shut out the live process of its node for the rest of the term; its controller then admits nothing.

Cause: message numbers begin at 1 in every term, and a reply stated the number of the last update applied without its term. A leader that had sent as many messages took an old number for a confirmation. The service's envelope names a term too, but the term of the message that is answered, which may carry no update, as a new leader's first heartbeat.

Why this works: a confirmation or batch counts only in its own term.

--- a/packages/team-quota/src/holder-messages.ts
+++ b/packages/team-quota/src/holder-messages.ts
@@ -42,6 +42,11 @@
 	incarnation: string;
 	/** Sequence number of the replies of this process. */
 	number: number;
+	/**
+	 * Term of leadership of the last update that was applied. A reply may reach the leader of a later term, to which
+	 * `confirmed` and `batch` then state nothing. Controllers of 0.8.0 do not send it.
+	 */
+	term?: number | undefined;
 	/** Number of the last update that was applied. */
 	confirmed: number;
 	/**
@@ -68,6 +73,7 @@
 const HolderReplySchema = v.object({
 	incarnation: NameSchema,
 	number: CountSchema,
+	term: v.optional(CountSchema),
 	confirmed: CountSchema,
 	batch: CountSchema,
 	wanted: v.optional(v.array(v.object({ team: NameSchema, amount: AmountSchema }))),
--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -10,6 +10,11 @@
 	echoedReplyNumber: number;
 	echoedReplyReceivedAt: number;
 	lastMessageNumber: number;
+	/**
+	 * This leader numbers its messages to this process above this: above all that it sent before, and above what the
+	 * process had confirmed before the first of them.
+	 */
+	readonly numberedAbove: number;
 	confirmedMessageNumber: number;
 	settledBatch: number;
 	/**
@@ -21,6 +26,8 @@
 }
 
 export interface HolderRegistryOptions {
+	/** The term of leadership. */
+	term: number;
 	/** Monotonic time at which the term began, in milliseconds. */
 	termStartedAt: number;
 	expiryMs: number;
@@ -51,6 +58,8 @@
 	/** By node: a process that has confirmed no message yet, and may be an earlier process of its node. */
 	private readonly candidates = new Map<string, HolderProcess>();
 	private readonly endedIncarnations = new Set<string>();
+	/** Highest number of any message of this term, so that no number is used for two messages to one process. */
+	private highestMessageNumber = 0;
 
 	constructor(private readonly options: HolderRegistryOptions) {}
 
@@ -69,7 +78,7 @@
 		if (this.endedIncarnations.has(reply.incarnation)) return { batchAccepted: false };
 		const current = this.currentProcesses.get(node);
 		if (current?.incarnation === reply.incarnation) return this.recordReply(current, reply, now);
-		const candidate = this.candidateOf(node, reply.incarnation, now);
+		const candidate = this.candidateOf(node, reply, now);
 		this.recordReply(candidate, reply, now);
 		// A delayed reply of an earlier process must not replace a later process. Only a live process confirms
 		// messages of this term.
@@ -84,16 +93,18 @@
 		this.currentProcesses.set(node, candidate);
 	}
 
-	private candidateOf(node: string, incarnation: string, now: number): HolderProcess {
+	private candidateOf(node: string, { incarnation, confirmed }: HolderReply, now: number): HolderProcess {
 		const existing = this.candidates.get(node);
 		if (existing?.incarnation === incarnation) return existing;
+		const numberedAbove = Math.max(this.highestMessageNumber, confirmed);
 		const created: HolderProcess = {
 			incarnation,
 			lastReplyAt: now,
 			lastReplyNumber: 0,
 			echoedReplyNumber: 0,
 			echoedReplyReceivedAt: Number.NEGATIVE_INFINITY,
-			lastMessageNumber: 0,
+			lastMessageNumber: numberedAbove,
+			numberedAbove,
 			confirmedMessageNumber: 0,
 			settledBatch: 0,
 			teamChangedInMessage: new Map(),
@@ -107,13 +118,18 @@
 		if (reply.number <= process.lastReplyNumber) return { batchAccepted: false };
 		process.lastReplyNumber = reply.number;
 		process.lastReplyAt = now;
-		if (reply.confirmed <= process.lastMessageNumber)
+		const belongsToTerm = reply.term === undefined || reply.term === this.options.term;
+		if (belongsToTerm && this.confirmsMessageOf(process, reply.confirmed))
 			process.confirmedMessageNumber = Math.max(process.confirmedMessageNumber, reply.confirmed);
-		const batchAccepted = reply.batch > process.settledBatch;
+		const batchAccepted = belongsToTerm && reply.batch > process.settledBatch;
 		process.settledBatch = Math.max(process.settledBatch, reply.batch);
 		return { batchAccepted };
 	}
 
+	private confirmsMessageOf({ numberedAbove, lastMessageNumber }: HolderProcess, confirmed: number): boolean {
+		return confirmed > numberedAbove && confirmed <= lastMessageNumber;
+	}
+
 	/** True if the node's process has replied recently enough to receive work and allotments. */
 	isResponsive(node: string, now: number): boolean {
 		const process = this.currentProcesses.get(node);
@@ -159,6 +175,7 @@
 		const process = candidate && candidate.lastReplyAt >= (current?.lastReplyAt ?? 0) ? candidate : current;
 		if (!process) return null;
 		process.lastMessageNumber += 1;
+		this.highestMessageNumber = Math.max(this.highestMessageNumber, process.lastMessageNumber);
 		if (process.lastReplyNumber > process.echoedReplyNumber) {
 			process.echoedReplyNumber = process.lastReplyNumber;
 			process.echoedReplyReceivedAt = process.lastReplyAt;
--- a/packages/team-quota/src/holder.ts
+++ b/packages/team-quota/src/holder.ts
@@ -39,6 +39,9 @@
 	marginMs: number;
 }
 
+/** The term of a holder that has applied no update; every term is later. */
+const noTerm = -1;
+
 interface ReceivedTeamUpdate extends TeamAllotmentUpdate {
 	/** Monotonic time of receipt, in milliseconds. */
 	receivedAt: number;
@@ -60,7 +63,7 @@
  * nothing. An admission counts as used until its task is known to have ended or never to start.
  */
 export class AllotmentHolder {
-	private term = -1;
+	private term = noTerm;
 	private lastMessageNumber = 0;
 	private readonly teams = new Map<string, ReceivedTeamUpdate>();
 	/** Admitted amounts of the batches that the leader has not settled, by batch number and team. */
@@ -179,6 +182,7 @@
 		return {
 			incarnation: this.options.incarnation,
 			number: this.lastReplyNumber,
+			...(this.term !== noTerm && { term: this.term }),
 			confirmed: this.lastMessageNumber,
 			batch: this.lastBatchNumber,
 			...(requested && { wanted: requested }),
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -66,7 +66,11 @@
 
 	constructor(private readonly options: AllotmentManagerOptions) {
 		this.termStartedAt = options.now();
-		this.registry = new HolderRegistry({ ...options, termStartedAt: this.termStartedAt });
+		this.registry = new HolderRegistry({
+			...options,
+			term: options.leaderCondition.revision,
+			termStartedAt: this.termStartedAt,
+		});
 		this.writer = new AllotmentWriter({
 			...options,
 			onRecordsChanged: (teams) => this.handleChangedRecords(teams),
--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -250,6 +250,83 @@
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
 });
 
+// Guards against a confirmation of an earlier term that passes for one of this term: a dropped admission then starts.
+test("a reply that was sent in an earlier term confirms nothing, and its admissions do not start", async () => {
+	const cluster = new TestCluster();
+	const holder = cluster.startProcess("b");
+	const { leader, manager } = await cluster.allotAllTo(holder);
+	const lateReplies = [];
+	for (let i = 0; i < 3; i++) {
+		assert.equal(holder.admit("red", oneCpu).kind, "admitted");
+		holder.closeBatch();
+		lateReplies.push(holder.reply());
+	}
+	manager.end();
+	// The same process leads again after another leader. The holder has dropped its admissions by then.
+	holder.applyAllotmentUpdate(2, { incarnation: "p1", number: 1, echo: 0, settledBatch: 0, teams: [] });
+	const nextManager = leader.beginTerm({ key: "leader", revision: 3 });
+	nextManager.start();
+	for (const reply of lateReplies) {
+		assert.equal(leader.handleReply("b", reply), false);
+		for (let i = 0; i < 50; i++) nextManager.nextUpdate("b");
+	}
+	assert.equal(nextManager.mayStart("b", "red", oneCpu), false);
+});
+
+// Guards against a late reply of an ended process that confirms a message of an earlier term: the leader then refuses the
+// live process for the rest of the term.
+test("a late reply of an ended process, sent in an earlier term, does not replace the live process", async () => {
+	const cluster = new TestCluster();
+	const ended = cluster.startProcess("b");
+	const { leader, manager } = await cluster.allotAllTo(ended);
+	const lateReplies = [ended.reply(), ended.reply()];
+	const restarted = cluster.startProcess("b");
+	const exchangeOften = async (current: AllotmentManager, term: number) => {
+		for (let i = 0; i < 12; i++) {
+			cluster.exchangeMessages(leader, current, "b", restarted, term);
+			await cluster.runTicks(current, 1);
+		}
+	};
+	await exchangeOften(manager, 1);
+	assert.equal(restarted.admit("red", oneCpu).kind, "admitted", "the live process has the allotment");
+	manager.end();
+	const nextManager = leader.beginTerm({ key: "leader", revision: 2 });
+	cluster.store.rowsByKey.set("leader", { value: "a", revision: 2 });
+	nextManager.setPreferredHolder("b", "red");
+	nextManager.setRequestedAmount("b", "red", unlimitedAmount);
+	nextManager.start();
+	for (const reply of lateReplies) {
+		leader.handleReply("b", reply);
+		for (let i = 0; i < 50; i++) nextManager.nextUpdate("b");
+	}
+	await exchangeOften(nextManager, 2);
+	assert.equal(restarted.admit("red", oneCpu).kind, "admitted");
+});
+
+// Guards against a reply to a leader's message without an update, which still states what an earlier term's message
+// confirmed: the service's envelope names the new term. Controllers of 0.8.0 send no term in the reply itself.
+test("a reply without a term confirms only messages that were numbered above what it stated before", async () => {
+	const cluster = new TestCluster();
+	const holder = cluster.startProcess("b");
+	const { manager } = await cluster.allotAllTo(holder);
+	manager.end();
+	const next = cluster.startProcess("a");
+	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
+	nextManager.start();
+	const replyOfEarlierVersion = () => {
+		const { term: _term, ...reply } = holder.reply();
+		return reply;
+	};
+	for (let i = 0; i < 4; i++) {
+		next.handleReply("b", replyOfEarlierVersion());
+		for (let j = 0; j < 50; j++) nextManager.nextUpdate("b");
+	}
+	assert.equal(nextManager.mayStart("b", "red", oneCpu), false, "it has applied no message of this term");
+	holder.applyAllotmentUpdate(2, nextManager.nextUpdate("b") as AllotmentUpdate);
+	next.handleReply("b", replyOfEarlierVersion());
+	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
+});
+
 test("a batch that was lost, arrives late or arrives twice is not started", async () => {
 	const cluster = new TestCluster();
 	const holder = cluster.startProcess("b");
