Simulation of team quota: an ended process's admission ends with its last copy

Nothing was seen by callers; the fault is in the check.

Cause: the history ended an admission that never started at the expiry of its holder's allotment, unless its holder dropped it or a leader refused it. An ended process does neither.

An admission of an ended process now ends when no copy of its proposal is in flight or waits at a paused process. That follows from events of the simulated links alone.

--- /dev/null
+++ b/packages/team-quota/tests/admission-record.test.ts
@@ -0,0 +1,75 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { AdmissionRecord } from "./support/admission-record.js";
+import { findViolations, type History } from "./support/history.js";
+
+const admittedAt = 100;
+const expiresAt = 700;
+
+function admit(): AdmissionRecord {
+	const record = new AdmissionRecord("t1", "red", { cpus: 1000, gpus: 0 }, admittedAt);
+	record.expiresAt = expiresAt;
+	return record;
+}
+
+function violationsOf(record: AdmissionRecord): string[] {
+	const limit = { team: "red", at: 0, limit: [2000, 0], guarantee: [0, 0] } as const;
+	const history: History = {
+		tasks: [record.toHistory(1000)],
+		refusals: [],
+		limitChanges: [limit],
+		maxInformationAgeMs: 0,
+	};
+	return findViolations(history);
+}
+
+// Guards against seeds 321 and 359 of the simulation: a lost proposal of an ended process counted until the expiry.
+test("an admission of an ended process counts until no copy of its proposal can be delivered", () => {
+	const lost = admit();
+	lost.admittingProcessEnded(150);
+	assert.equal(lost.toHistory(1000).endedAt, 150);
+	const inFlight = admit();
+	inFlight.copySent();
+	inFlight.copySent();
+	inFlight.admittingProcessEnded(150);
+	inFlight.copyGone(200);
+	assert.equal(inFlight.toHistory(250).endedAt, 250, "the second copy may still start the task");
+	inFlight.copyGone(300);
+	assert.equal(inFlight.toHistory(1000).endedAt, 300);
+});
+
+test("a lost admission of a live process counts until its holder drops it or its allotment expires", () => {
+	const record = admit();
+	record.copySent();
+	record.copyGone(120);
+	assert.equal(record.toHistory(1000).endedAt, expiresAt);
+	record.recordUnableToStart(400);
+	assert.equal(record.toHistory(1000).endedAt, 400);
+});
+
+test("a task that starts from a copy of an ended process counts until its end", () => {
+	const record = admit();
+	record.copySent();
+	record.admittingProcessEnded(150);
+	record.recordStart(200);
+	record.copyGone(200);
+	record.recordEnd(900);
+	assert.equal(record.toHistory(1000).endedAt, 900);
+	assert.deepEqual(violationsOf(record), []);
+});
+
+test("a task that starts after it was recorded as unable to start, or twice, is a violation", () => {
+	const dropped = admit();
+	dropped.copySent();
+	dropped.recordUnableToStart(300);
+	dropped.recordStart(301);
+	assert.deepEqual(violationsOf(dropped), ["301 red: t1 started, but was unable to start since 300"]);
+	const ended = admit();
+	ended.admittingProcessEnded(150);
+	ended.recordStart(150);
+	assert.match(violationsOf(ended)[0] ?? "", /unable to start since 150/);
+	const twice = admit();
+	twice.recordStart(110);
+	twice.recordStart(120);
+	assert.deepEqual(violationsOf(twice), ["110 red: t1 started 2 times"]);
+});
--- a/packages/team-quota/tests/support/history.ts
+++ b/packages/team-quota/tests/support/history.ts
@@ -13,6 +13,11 @@
 	admittedAt: number;
 	/** Time at which the task ended, was dropped, or could no longer start; null: it still runs. */
 	endedAt: number | null;
+	/** Time of the first start; null: the task has not started. */
+	startedAt?: number | null;
+	startCount?: number;
+	/** Time from which the task was recorded as unable to start; null: it never was. */
+	unableToStartSince?: number | null;
 }
 
 export interface Refusal {
@@ -47,15 +52,34 @@
 	apply(): string | null;
 }
 
-/** Returns the violations of each team: those of its limit in the order of time, then unjustified refusals. */
+/**
+ * Returns the violations of each team: those of its limit in the order of time, then unjustified refusals and invalid
+ * starts.
+ */
 export function findViolations(history: History): string[] {
 	const teams = new Set(history.limitChanges.map(({ team }) => team));
 	return [...teams].flatMap((team) => [
 		...limitViolations(history, team),
 		...unjustifiedRefusals(history, team),
+		...invalidStarts(history, team),
 	]);
 }
 
+/** A task starts once at most, and never after it was recorded as unable to start. */
+function invalidStarts({ tasks }: History, team: string): string[] {
+	const faults: string[] = [];
+	for (const { id, startedAt, startCount, unableToStartSince } of tasks.filter(
+		(task) => task.team === team,
+	)) {
+		if (typeof startedAt !== "number") continue;
+		if (typeof unableToStartSince === "number")
+			faults.push(`${startedAt} ${team}: ${id} started, but was unable to start since ${unableToStartSince}`);
+		if (startCount !== undefined && startCount > 1)
+			faults.push(`${startedAt} ${team}: ${id} started ${startCount} times`);
+	}
+	return faults;
+}
+
 function limitViolations({ tasks, limitChanges }: History, team: string): string[] {
 	let limit: Size = [0, 0];
 	let cpus = 0;
--- a/packages/team-quota/tests/support/simulated-cluster.ts
+++ b/packages/team-quota/tests/support/simulated-cluster.ts
@@ -8,6 +8,7 @@
 import { QuotaParticipant } from "../../src/quota-participant.js";
 import type { LimitAndGuarantee } from "../../src/record.js";
 import type { QuotaStore, QuotaWriteResult, StoredChange, StoredCondition } from "../../src/stored-values.js";
+import { AdmissionRecord } from "./admission-record.js";
 import type { History } from "./history.js";
 
 const prefix = "quota/";
@@ -15,16 +16,11 @@
 const tickMs = 20;
 const expiryMs = 600;
 
-/** An admitted task, on its way from a holder to the leader, or running. */
-interface Task {
-	id: string;
-	team: string;
-	size: Amount;
-	admittedAt: number;
-	/** Time from which the task can no longer start, if it has not started. */
-	voidAt: number;
-	started: boolean;
-	endedAt: number | null;
+/** Work that waits at a paused process. */
+interface HeldWork {
+	run(): void;
+	/** Called instead if the process ends before it resumes. */
+	drop(): void;
 }
 
 interface Process {
@@ -37,8 +33,8 @@
 	charges: Map<string, Charge>;
 	/** The latest term known to its holder, and the tasks that it has sent, with their batch numbers. */
 	term: number;
-	readonly sentBatches: Map<Task, number>;
-	callbacksWhilePaused: (() => void)[] | null;
+	readonly sentBatches: Map<AdmissionRecord, number>;
+	heldWhilePaused: HeldWork[] | null;
 	ended: boolean;
 }
 
@@ -62,7 +58,7 @@
 	faults: FaultSettings = { messageLossRate: 0, writeFailureRate: 0, maxDelayMs: 3 };
 	storeWrites = 0;
 	readonly logs: string[] = [];
-	private readonly tasks = new Map<string, Task>();
+	private readonly tasks = new Map<string, AdmissionRecord>();
 	private readonly rows = new Map<string, { value: unknown; revision: number }>();
 	private revision = 0;
 	private readonly events: { at: number; order: number; run: () => void }[] = [];
@@ -131,7 +127,7 @@
 			charges: new Map(),
 			term: -1,
 			sentBatches: new Map(),
-			callbacksWhilePaused: null,
+			heldWhilePaused: null,
 			ended: false,
 			participant: new QuotaParticipant({
 				node,
@@ -154,9 +150,10 @@
 		this.scheduleTurns(process);
 	}
 
-	private runOn(process: Process, run: () => void): void {
-		if (process.callbacksWhilePaused) process.callbacksWhilePaused.push(run);
-		else if (!process.ended) run();
+	private runOn(process: Process, run: () => void, drop: () => void = () => {}): void {
+		if (process.ended) drop();
+		else if (process.heldWhilePaused) process.heldWhilePaused.push({ run, drop });
+		else run();
 	}
 
 	private scheduleTurns(process: Process): void {
@@ -171,24 +168,26 @@
 		process.ended = true;
 		this.processes.delete(node);
 		if (this.leader === process) this.leader = null;
+		for (const task of process.sentBatches.keys()) task.admittingProcessEnded(this.now);
+		for (const { drop } of process.heldWhilePaused ?? []) drop();
 	}
 
 	pause(node: string): void {
 		const process = this.processes.get(node);
-		if (process) process.callbacksWhilePaused ??= [];
+		if (process) process.heldWhilePaused ??= [];
 	}
 
 	resume(node: string): void {
 		const process = this.processes.get(node);
-		const callbacks = process?.callbacksWhilePaused ?? [];
-		if (process) process.callbacksWhilePaused = null;
-		for (const run of callbacks) run();
+		const held = process?.heldWhilePaused ?? [];
+		if (process) process.heldWhilePaused = null;
+		for (const { run } of held) run();
 	}
 
 	/** Makes the node's process the leader; the previous leader loses its authority. */
 	elect(node: string): void {
 		const process = this.processes.get(node);
-		if (!process || process.callbacksWhilePaused) return;
+		if (!process || process.heldWhilePaused) return;
 		this.leader?.participant.endTerm();
 		this.revision += 1;
 		this.term = this.revision;
@@ -198,14 +197,13 @@
 		process.manager = manager;
 		process.charges = new Map();
 		process.term = this.term;
-		for (const task of process.sentBatches.keys()) task.voidAt = Math.min(task.voidAt, this.now);
+		for (const task of process.sentBatches.keys()) task.recordUnableToStart(this.now);
 		process.sentBatches.clear();
 		// The new leader finds the running tasks after a delay.
 		this.schedule(this.randomInt(5, 60), () => {
 			if (this.leader !== process || process.manager !== manager) return;
 			for (const task of this.tasks.values())
-				if (task.started && task.endedAt === null)
-					process.charges.set(task.id, manager.chargeUnattributed(task.team, task.size));
+				if (task.running) process.charges.set(task.id, manager.chargeUnattributed(task.team, task.size));
 			manager.start();
 		});
 	}
@@ -241,7 +239,7 @@
 		for (const [task, batch] of to.sentBatches) {
 			if (term === previousTerm && batch > update.settledBatch) continue;
 			to.sentBatches.delete(task);
-			task.voidAt = Math.min(task.voidAt, this.now);
+			task.recordUnableToStart(this.now);
 		}
 	}
 
@@ -251,15 +249,7 @@
 		leads: boolean,
 	): void {
 		const { team, size, runMs } = request;
-		const task: Task = {
-			id: `t${this.tasks.size}`,
-			team,
-			size,
-			admittedAt: this.now,
-			voidAt: Number.POSITIVE_INFINITY,
-			started: false,
-			endedAt: null,
-		};
+		const task = new AdmissionRecord(`t${this.tasks.size}`, team, size, this.now);
 		if (leads) {
 			process.manager?.setRequestedAmount(process.node, team, { cpus: size.cpus * 4, gpus: size.gpus * 4 });
 			if (!process.manager?.mayStart(process.node, team, size)) {
@@ -274,9 +264,9 @@
 		const admission = process.participant.admit(team, size);
 		if (admission.kind === "admitted") {
 			// For the history only: the simulated time at which the holder's allotment expires. An admission
-			// after that time is not voided by the expiry.
+			// after that time is not ended by the expiry.
 			const validMs = (process.participant.validUntil - process.participant.now()) / process.clockRate;
-			task.voidAt = validMs > 0 ? this.now + validMs : Number.POSITIVE_INFINITY;
+			task.expiresAt = validMs > 0 ? this.now + validMs : Number.POSITIVE_INFINITY;
 			this.recordAdmission(process.node, task);
 			process.sentBatches.set(task, process.participant.closeBatch());
 		} else {
@@ -292,7 +282,7 @@
 		if (!this.waitingSince.has(key)) this.waitingSince.set(key, this.now);
 	}
 
-	private recordAdmission(node: string, task: Task): void {
+	private recordAdmission(node: string, task: AdmissionRecord): void {
 		this.tasks.set(task.id, task);
 		const key = `${node}/${task.team}`;
 		this.longestWaitMs = Math.max(this.longestWaitMs, this.now - (this.waitingSince.get(key) ?? this.now));
@@ -301,13 +291,13 @@
 
 	private sendProposal(
 		process: Process,
-		task: Task | null,
+		task: AdmissionRecord | null,
 		request: { team: string; size: Amount; runMs: number },
 	): void {
 		const requestedAmount = { cpus: request.size.cpus * 4, gpus: request.size.gpus * 4 };
 		const reply = process.participant.reply([{ team: request.team, amount: requestedAmount }]);
 		if (!this.leader) return;
-		this.send(this.leader.node, (to) => {
+		const deliver = (to: Process) => {
 			if (to !== this.leader) return;
 			const accepted = to.participant.handleReply(process.node, JSON.parse(JSON.stringify(reply)));
 			if (!task) return;
@@ -315,14 +305,15 @@
 			if (starts && to.manager) {
 				to.charges.set(task.id, to.manager.charges.add(task.team, process.node, task.size));
 				this.startTask(task, request.runMs);
-			} else task.voidAt = Math.min(task.voidAt, this.now);
-		});
+			} else task.recordUnableToStart(this.now);
+		};
+		this.send(this.leader.node, deliver, task);
 	}
 
-	private startTask(task: Task, runMs: number): void {
-		task.started = true;
+	private startTask(task: AdmissionRecord, runMs: number): void {
+		task.recordStart(this.now);
 		this.schedule(runMs, () => {
-			task.endedAt = this.now;
+			task.recordEnd(this.now);
 			const leader = this.leader;
 			if (!leader) return;
 			this.runOn(leader, () => {
@@ -332,13 +323,25 @@
 		});
 	}
 
-	private send(node: string, deliver: (to: Process) => void): void {
+	/** Sends a message, which carries the admission of the task if there is one. */
+	private send(
+		node: string,
+		deliver: (to: Process) => void,
+		carriedTask: AdmissionRecord | null = null,
+	): void {
 		if (this.randomChance(this.faults.messageLossRate)) return;
 		const copies = this.randomChance(this.faults.messageLossRate / 2) ? 2 : 1;
+		const copyGone = () => carriedTask?.copyGone(this.now);
 		for (let i = 0; i < copies; i++) {
+			carriedTask?.copySent();
 			this.schedule(this.randomInt(1, this.faults.maxDelayMs), () => {
+				const deliverCopy = (to: Process) => {
+					deliver(to);
+					copyGone();
+				};
 				const to = this.processes.get(node);
-				if (to) this.runOn(to, () => deliver(to));
+				if (to) this.runOn(to, () => deliverCopy(to), copyGone);
+				else copyGone();
 			});
 		}
 	}
@@ -416,13 +419,7 @@
 
 	/** Returns the history in the form that the checker reads. */
 	buildHistory(): History {
-		this.history.tasks = [...this.tasks.values()].map((task) => ({
-			id: task.id,
-			team: task.team,
-			size: [task.size.cpus, task.size.gpus],
-			admittedAt: task.admittedAt,
-			endedAt: task.started ? task.endedAt : Math.max(task.admittedAt, Math.min(task.voidAt, this.now)),
-		}));
+		this.history.tasks = [...this.tasks.values()].map((task) => task.toHistory(this.now));
 		return this.history;
 	}
 
