Process test of team quota: the history is a module of its own

quota-processes.ts starts processes and serves as their store and workers; what they admitted and started is now recorded by ProcessHistory. Behaviour unchanged.

--- a/tests/support/quota-processes.ts
+++ b/tests/support/quota-processes.ts
@@ -14,16 +14,11 @@
 	type ParentMessage,
 	type QuotaTask,
 } from "./quota-node.js";
+import { ProcessHistory } from "./quota-process-history.js";
 import { StateService } from "./state-service.js";
 
 const script = fileURLToPath(new URL("./quota-node.js", import.meta.url));
 
-interface RunningTask {
-	task: QuotaTask;
-	startedAt: number;
-	endedAt: number | null;
-}
-
 interface NodeProcess {
 	config: NodeConfig;
 	child: ChildProcess;
@@ -50,12 +45,8 @@
 	redLimitChanges = 0;
 	private readonly members = new Map<string, NodeProcess>();
 	private readonly servers: Server[] = [];
-	private readonly admitted = new Map<string, { task: QuotaTask; voidAt: number }>();
-	private readonly running = new Map<string, RunningTask>();
-	private readonly refusals: History["refusals"] = [];
-	private readonly limitChanges: History["limitChanges"] = [];
+	private readonly recorded = new ProcessHistory(hostClockMs);
 	private readonly lastCpuLimits = new Map<string, number>();
-	private term = 0;
 	private spawnedProcesses = 0;
 
 	constructor(
@@ -111,23 +102,10 @@
 			member.child.kill("SIGKILL");
 			await once(member.child, "exit");
 		}
-		this.dropAdmissions(
-			[...this.admitted.keys()].filter((id) => id.startsWith(`${member.config.incarnation}.`)),
-		);
+		this.recorded.processEnded(member.config.incarnation);
 		member.child = this.spawn(member.config);
 	}
 
-	/**
-	 * Marks admitted tasks as unable to start any more. For tasks that have started, the history uses
-	 * their run time.
-	 */
-	private dropAdmissions(ids: string[], at = hostClockMs()): void {
-		for (const id of ids) {
-			const entry = this.admitted.get(id);
-			if (entry) entry.voidAt = Math.min(entry.voidAt, at);
-		}
-	}
-
 	async stop(): Promise<void> {
 		for (const { child } of this.members.values()) child.kill("SIGKILL");
 		for (const server of this.servers) {
@@ -191,8 +169,11 @@
 				const before = this.lastCpuLimits.get(team);
 				this.lastCpuLimits.set(team, cpus);
 				if (team === "red" && before !== undefined && before !== cpus) this.redLimitChanges += 1;
-				const change = { limit: [cpus, gpus] as const, guarantee: [guaranteedCpus, guaranteedGpus] as const };
-				this.limitChanges.push({ team, at: hostClockMs(), ...change });
+				this.recorded.limitChanged({
+					team,
+					limit: [cpus, gpus],
+					guarantee: [guaranteedCpus, guaranteedGpus],
+				});
 			}
 		}
 	}
@@ -202,73 +183,47 @@
 	private handleMessage(child: ChildProcess, message: NodeMessage): void {
 		switch (message.kind) {
 			case "leads":
-				this.term = Math.max(this.term, message.term);
+				this.recorded.leaderReported(message.term);
 				this.elections.push({ kind: "leads", at: message.at });
-				this.send(child, { kind: "running", term: message.term, tasks: this.runningTasks() });
+				this.send(child, { kind: "running", term: message.term, tasks: this.recorded.runningTasks });
 				break;
 			case "start":
 				this.startTask(message.term, message.task);
 				break;
 			case "admitted":
-				this.admitted.set(message.task.id, { task: message.task, voidAt: message.voidAt });
+				this.recorded.admitted(message.task, message.voidAt);
 				break;
 			case "void":
-				this.dropAdmissions(message.ids, message.at);
+				this.recorded.dropped(message.ids, message.at);
 				break;
-			case "refused": {
-				const { team, size, at } = message;
-				this.refusals.push({ team, size: [size.cpus, size.gpus], at });
+			case "refused":
+				this.recorded.refused(message.team, message.size, message.at);
 				break;
-			}
 			case "waited":
 				this.waitsMs.push(message.ms);
 		}
 	}
 
-	private runningTasks(): QuotaTask[] {
-		return [...this.running.values()].filter(({ endedAt }) => endedAt === null).map(({ task }) => task);
-	}
-
-	/** Starts a task; like a worker, ignores a leader of an earlier term. */
+	/** Starts a task; like a worker, refuses it from a leader of an earlier term. */
 	private startTask(term: number, task: QuotaTask): void {
-		if (term < this.term) return;
-		const entry: RunningTask = { task, startedAt: hostClockMs(), endedAt: null };
-		this.running.set(task.id, entry);
+		if (!this.recorded.started(term, task)) return;
 		setTimeout(() => {
-			entry.endedAt = hostClockMs();
+			this.recorded.ended(task.id);
 			for (const { child } of this.members.values()) this.send(child, { kind: "ended", id: task.id });
 		}, task.runMs);
 	}
 
 	/** Returns the delays from request to start at a worker, in milliseconds. */
 	startDelaysMs(): number[] {
-		return [...this.running.values()].map(({ task, startedAt }) => startedAt - task.admittedAt);
+		return this.recorded.startDelaysMs;
 	}
 
 	get startedTaskCount(): number {
-		return this.running.size;
+		return this.recorded.startedTaskCount;
 	}
 
 	history(): History {
-		const now = hostClockMs();
-		const tasks = [...this.admitted.values()].map(({ task, voidAt }) => {
-			const run = this.running.get(task.id);
-			return { task, endedAt: run ? run.endedAt : Math.max(task.admittedAt, Math.min(voidAt, now)) };
-		});
-		for (const [id, { task, endedAt }] of this.running)
-			if (!this.admitted.has(id)) tasks.push({ task, endedAt });
-		return {
-			tasks: tasks.map(({ task: { id, team, size, admittedAt }, endedAt }) => ({
-				id,
-				team,
-				size: [size.cpus, size.gpus],
-				admittedAt,
-				endedAt,
-			})),
-			refusals: this.refusals,
-			limitChanges: this.limitChanges,
-			maxInformationAgeMs: 3000,
-		};
+		return this.recorded.build();
 	}
 }
 
