Process test of team quota: a start that a worker refuses ends its admission

Cause: a leader that was paused between the messages of its admission and of its start is deposed meanwhile; the workers refuse its start, and the history went on counting the admission until its end. The service is not concerned.

Why this works: the refusal is what ends such an admission. The test of the history fails without it (30 expected, 100 counted).

--- a/tests/support/quota-process-history.ts
+++ b/tests/support/quota-process-history.ts
@@ -45,7 +45,10 @@
 
 	/** Records a start. Returns false if the worker refuses it, since it comes from a leader of an earlier term. */
 	started(term: number, task: QuotaTask): boolean {
-		if (term < this.term) return false;
+		if (term < this.term) {
+			this.dropped([task.id]);
+			return false;
+		}
 		this.runs.set(task.id, { task, startedAt: this.now(), endedAt: null });
 		return true;
 	}
