Team quota: demand and revocations are modules of their own; one rule for the expiry of earlier terms

The expiry of what earlier leaders kept valid stood in HolderRegistry and in the manager; the registry's earlierTermsExpired serves both.

--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -140,12 +140,18 @@
 	isRevocable(node: string, incarnation: string, now: number): boolean {
 		const process = this.currentProcesses.get(node);
 		if (process && process.incarnation !== incarnation) return true;
-		const { termStartedAt, expiryMs, marginMs } = this.options;
-		const expiryCountsFrom = Math.max(
-			termStartedAt,
-			process?.echoedReplyReceivedAt ?? Number.NEGATIVE_INFINITY,
-		);
-		return now > expiryCountsFrom + expiryMs * (1 + 2 * maxClockDriftFraction) + marginMs;
+		const echoedReplyReceivedAt = process?.echoedReplyReceivedAt ?? Number.NEGATIVE_INFINITY;
+		return this.earlierTermsExpired(now) && this.hasExpired(echoedReplyReceivedAt, now);
+	}
+
+	/** True if every allotment that leaders of earlier terms kept valid has expired. */
+	earlierTermsExpired(now: number): boolean {
+		return this.hasExpired(this.options.termStartedAt, now);
+	}
+
+	private hasExpired(countsFrom: number, now: number): boolean {
+		const { expiryMs, marginMs } = this.options;
+		return now > countsFrom + expiryMs * (1 + 2 * maxClockDriftFraction) + marginMs;
 	}
 
 	/** Adds the team to the node's next messages until one is confirmed, since its allotment or charge changed. */
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -1,20 +1,13 @@
 import { advanceRecord, excessOverPendingLimit, type HolderState, initialRecord } from "./advance-record.js";
 import { AllotmentWriter, type AllotmentWriterOptions } from "./allotment-writer.js";
-import {
-	type Amount,
-	addAmounts,
-	fitsWithin,
-	isZeroAmount,
-	sameAmount,
-	subtractAmounts,
-	zeroAmount,
-} from "./amount.js";
+import { type Amount, addAmounts, fitsWithin, isZeroAmount, subtractAmounts, zeroAmount } from "./amount.js";
 import { findDifferences, PersistentDifferences } from "./charge-verification.js";
 import { type Charge, ChargeLedger } from "./charges.js";
-import { maxClockDriftFraction } from "./holder.js";
+import { DemandTable } from "./demand.js";
 import type { AllotmentUpdate, HolderReply, TeamAllotmentUpdate } from "./holder-messages.js";
 import { HolderRegistry } from "./holder-registry.js";
 import { type Allotment, allotmentOf, capOf, type LimitAndGuarantee, type QuotaRecord } from "./record.js";
+import { RevocationsInProgress } from "./revocations.js";
 
 export interface AllotmentManagerOptions
 	extends Omit<AllotmentWriterOptions, "onRecordsChanged" | "onAllotmentResized"> {
@@ -45,31 +38,23 @@
 	readonly charges: ChargeLedger;
 	private readonly registry: HolderRegistry;
 	private readonly writer: AllotmentWriter;
-	private readonly termStartedAt: number;
 	/** True once all tasks of earlier leaders are charged. */
 	private started = false;
 	private nextCheckAt = Number.NEGATIVE_INFINITY;
 	/** Teams whose records may need a change. */
 	private readonly teamsToCheck = new Set<string>();
-	/**
-	 * By team: nodes whose allotment is being revoked because its process can no longer admit anything. The
-	 * process may reply again while the write is in flight, and the write may be executed late: the node may
-	 * admit nothing until the stored record has changed, whatever the process replies.
-	 */
-	private readonly nodesBeingRevoked = new Map<string, Set<string>>();
+	private readonly revocations = new RevocationsInProgress();
 	/** The responsive nodes at the last check, joined with commas. */
 	private lastResponsiveNodes = "";
 	private readonly persistentDifferences = new PersistentDifferences();
-	private readonly requestedAmounts = new Map<string, Map<string, Amount>>();
-	private readonly preferredHolders = new Map<string, string>();
+	private readonly demand = new DemandTable();
 	private readonly lastMovedAt = new Map<string, number>();
 
 	constructor(private readonly options: AllotmentManagerOptions) {
-		this.termStartedAt = options.now();
 		this.registry = new HolderRegistry({
 			...options,
 			term: options.leaderCondition.revision,
-			termStartedAt: this.termStartedAt,
+			termStartedAt: options.now(),
 		});
 		this.writer = new AllotmentWriter({
 			...options,
@@ -150,22 +135,12 @@
 
 	/** Sets the amount that the node would use for the team without a limit, including its running tasks. */
 	setRequestedAmount(node: string, team: string, amount: Amount): void {
-		let nodes = this.requestedAmounts.get(team);
-		if (!nodes) {
-			nodes = new Map();
-			this.requestedAmounts.set(team, nodes);
-		}
-		const previous = nodes.get(node) ?? zeroAmount;
-		if (sameAmount(previous, amount)) return;
-		nodes.set(node, amount);
-		this.teamsToCheck.add(team);
+		if (this.demand.setRequestedAmount(node, team, amount)) this.teamsToCheck.add(team);
 	}
 
 	/** Sets the controller that receives the part of the limit that no controller requests. */
 	setPreferredHolder(node: string, team: string): void {
-		if (this.preferredHolders.get(team) === node) return;
-		this.preferredHolders.set(team, node);
-		this.teamsToCheck.add(team);
+		if (this.demand.setPreferredHolder(node, team)) this.teamsToCheck.add(team);
 	}
 
 	/** True if the node is responsive and its allotment has capacity for a task of this size. */
@@ -186,7 +161,7 @@
 	private availableAt(node: string, team: string): Amount {
 		const allotment = this.allotmentAt(node, team);
 		if (!allotment || allotment.incarnation !== this.incarnationOf(node)) return zeroAmount;
-		if (this.nodesBeingRevoked.get(team)?.has(node)) return zeroAmount;
+		if (this.revocations.isBeingRevoked(team, node)) return zeroAmount;
 		const available = subtractAmounts(capOf(allotment), this.charges.chargedTo(team, node));
 		return subtractAmounts(available, this.uncertainCharges(team));
 	}
@@ -218,7 +193,7 @@
 		if (node === this.options.node) return this.canAdmit(node, team, size);
 		const allotment = this.allotmentAt(node, team);
 		if (!allotment || allotment.incarnation !== this.registry.incarnation(node)) return false;
-		if (this.nodesBeingRevoked.get(team)?.has(node)) return false;
+		if (this.revocations.isBeingRevoked(team, node)) return false;
 		return fitsWithin(addAmounts(this.charges.chargedTo(team, node), size), allotment.amount);
 	}
 
@@ -280,7 +255,7 @@
 
 	private handleChangedRecords(teams: readonly string[]): void {
 		for (const team of teams) {
-			this.nodesBeingRevoked.delete(team);
+			this.revocations.end(team);
 			this.markTeamChanged(team);
 			if (this.options.settings.has(team)) this.teamsToCheck.add(team);
 		}
@@ -331,11 +306,7 @@
 	 * earlier leaders have expired `expiryMs`, with drift and margin, after the beginning of the term.
 	 */
 	private mustWaitForUnreadable(now: number): boolean {
-		const { values, expiryMs, marginMs } = this.options;
-		return (
-			values.hasUnreadableRecords &&
-			now <= this.termStartedAt + expiryMs * (1 + 2 * maxClockDriftFraction) + marginMs
-		);
+		return this.options.values.hasUnreadableRecords && !this.registry.earlierTermsExpired(now);
 	}
 
 	private nextRecord(team: string, settings: LimitAndGuarantee, now: number): QuotaRecord {
@@ -355,24 +326,20 @@
 		});
 	}
 
-	private revocableHolders(team: string, record: QuotaRecord, now: number): Set<string> {
+	private revocableHolders(team: string, record: QuotaRecord, now: number): ReadonlySet<string> {
 		const { node: self, incarnation: selfIncarnation } = this.options;
-		const revocable = this.nodesBeingRevoked.get(team) ?? new Set();
 		for (const { node, incarnation } of record.allotments) {
 			const isRevocable =
 				node === self ? incarnation !== selfIncarnation : this.registry.isRevocable(node, incarnation, now);
-			if (!isRevocable || revocable.has(node)) continue;
-			revocable.add(node);
-			this.registry.markTeamChanged(node, team, true);
+			if (isRevocable && this.revocations.begin(team, node)) this.registry.markTeamChanged(node, team, true);
 		}
-		if (revocable.size > 0) this.nodesBeingRevoked.set(team, revocable);
-		return revocable;
+		return this.revocations.nodes(team);
 	}
 
 	/** Returns the responsive holders, the preferred one first. */
 	private holderStates(team: string, record: QuotaRecord, now: number): HolderState[] {
 		const { node: self, nodes } = this.options;
-		const preferredNode = this.preferredHolders.get(team) ?? self;
+		const preferredNode = this.demand.preferredHolder(team) ?? self;
 		const states: HolderState[] = [];
 		for (const node of nodes) {
 			const incarnation = this.incarnationOf(node);
@@ -383,7 +350,7 @@
 				incarnation,
 				capConfirmed: node === self || (held !== undefined && this.registry.hasConfirmedCap(node, team)),
 				used: this.charges.chargedTo(team, node),
-				requested: this.requestedAmounts.get(team)?.get(node) ?? zeroAmount,
+				requested: this.demand.requestedAmount(node, team),
 			};
 			if (node === preferredNode) states.unshift(state);
 			else states.push(state);
