Replica: a load includes the records of team quota

What callers saw: after a limit was set by command, a controller that had restarted answered by the platform's settings: 201 for a job that the limit excludes (it never runs), or 422 for one that a raised limit admits.

Cause: a load read every prefix but r/quota/, and the watch continues from the load. reset took the records that it held for removed, since the load lacked them, and notified nobody.

Evidence: limit lowered from 8 to 3 CPUs, a controller without an allotment restarted, a task of 4 CPUs submitted there. Before: not ok - a controller that has restarted knows the limits that were set by command (expected 422, actual 201) not ok - a load includes the records of team quota, and reports those that were removed (no report)

Why this works: the load now has every record, so the listener that passes them to team quota is called for each, and a record that is missing from it has been removed. Revisions keep older rows from replacing newer ones.

--- a/src/bookkeeping/store-replica.ts
+++ b/src/bookkeeping/store-replica.ts
@@ -151,7 +151,8 @@
 	/** Replaces the contents by a load: all live records, with every change up to the revision. */
 	reset(rows: readonly StoreRow[], revision: Revision): void {
 		const previousJobIds = [...this.jobs.keys()];
-		const previousQuotaKeys = [...this.quotas.keys()];
+		const loadedKeys = new Set(rows.map(({ key }) => key));
+		const removedQuotaKeys = [...this.quotas.keys()].filter((key) => !loadedKeys.has(key));
 		this.clearLiveRecords();
 		// If two chunks hold the same entry, the later one is valid: a leader may have failed while it split a chunk.
 		for (const row of [...rows].sort((a, b) => a.revision - b.revision))
@@ -159,8 +160,9 @@
 		this.#revision = revision;
 		this.#loaded = true;
 		this.finalJobs.onReplicaLoaded(revision);
-		for (const key of previousQuotaKeys) if (!rows.some((row) => row.key === key)) this.remove(key, revision);
+		for (const key of removedQuotaKeys) this.removeQuota(key, revision);
 		for (const row of rows) this.notify(row.key);
+		for (const key of removedQuotaKeys) this.notify(key);
 		for (const jobId of previousJobIds) if (!this.jobs.has(jobId)) this.notify(keys.job(jobId));
 	}
 
@@ -192,7 +194,7 @@
 		for (const listener of this.listeners) listener(key);
 	}
 
-	/** Clears the live records. Final records are kept, and those of team quota, which are not part of a load. */
+	/** Clears the live records. Final records are kept, and those of team quota, which change by revision only. */
 	private clearLiveRecords(): void {
 		this.liveJobs.clear();
 		this.donePages.clear();
--- a/src/coordination/replication/replica-sync.ts
+++ b/src/coordination/replication/replica-sync.ts
@@ -236,7 +236,7 @@
 		const startedAt = clock.now();
 		const parts = [];
 		// One at a time, machines last: a burst of calls would exhaust a starting controller's share of the request rate.
-		for (const prefix of [keys.singletons, keys.jobs, keys.progress, keys.machines])
+		for (const prefix of [keys.singletons, keys.jobs, keys.progress, keys.quota, keys.machines])
 			parts.push(await store.readPrefix(prefix));
 		const rows = parts.flatMap((part) => part.rows);
 		const revision = Math.min(...parts.map((part) => part.revision));
--- a/tests/coordination/replication/replica-sync.test.ts
+++ b/tests/coordination/replication/replica-sync.test.ts
@@ -4,6 +4,7 @@
 import { CallError } from "../../../src/coordination/ports/call-error.js";
 import type { KeyValueStore } from "../../../src/coordination/ports/store.js";
 import { ReplicaSync } from "../../../src/coordination/replication/replica-sync.js";
+import { keys } from "../../../src/protocol/records/keys.js";
 import { StoreClient } from "../../../src/transport/clients/store-client.js";
 import { FakeTime } from "../../support/fake-time.js";
 import { silentLog } from "../../support/silent-log.js";
@@ -74,3 +75,39 @@
 	assert.ok(time.now() - sync.syncedAt >= 5000, `synced up to ${sync.syncedAt} at ${time.now()}`);
 	sync.stop();
 });
+
+// Guards against a load that leaves out team quota's records: limits set by command were then unknown, or outdated.
+test("a load includes the records of team quota, and reports those that were removed", async () => {
+	const time = new FakeTime();
+	const service = new StateService(time);
+	const http = {
+		call: (method: string, path: string, body: unknown) => service.handle(method, path, body, "me"),
+		close() {},
+	};
+	const store = new StoreClient({ http, clock: time, requestsPerS: 1000, writesPerS: 1000, controllers: 1 });
+	const key = `${keys.quota}0`;
+	await store.compareAndSwap([], [{ put: key, value: { teams: {} } }], "normal");
+	const replica = new StoreReplica();
+	const reported: [string, unknown][] = [];
+	replica.onChange((changed) => {
+		if (changed === key) reported.push([changed, replica.quotaRecords.get(changed)?.value]);
+	});
+	const sync = new ReplicaSync({ replica, store, clock: time, log: silentLog, post: (action) => action() });
+	sync.start();
+	await time.advance(1000);
+	assert.deepEqual(reported, [[key, { teams: {} }]]);
+	sync.stop();
+	await store.compareAndSwap([], [{ delete: key }], "normal");
+	const reloaded = new ReplicaSync({
+		replica,
+		store,
+		clock: time,
+		log: silentLog,
+		post: (action) => action(),
+	});
+	replica.invalidate();
+	reloaded.start();
+	await time.advance(1000);
+	assert.deepEqual(reported.at(-1), [key, undefined]);
+	reloaded.stop();
+});
--- a/tests/team-quota/shared-limits.test.ts
+++ b/tests/team-quota/shared-limits.test.ts
@@ -85,6 +85,27 @@
 	assert.deepEqual(world.violations, []);
 });
 
+// Guards against a restarted controller that does not know limits set by command, since a load of its replica left them
+// out: it refused jobs that fit, or accepted jobs that can never run.
+test("a controller that has restarted knows the limits that were set by command", async () => {
+	const world = await worldWithJob(1);
+	await setLimit(world, "red", { cpus: 3, guaranteedCpus: 1 });
+	await world.time.advance(10_000);
+	// A controller without an allotment: its restart causes no write of a record, which it would be notified of.
+	const { teams } = await showQuotas(operatorStore(world), keys.quota);
+	const holders = new Set(teams.flatMap(({ allotments }) => allotments.map(({ node }) => node)));
+	const restarted = nodeNames.find((node) => node !== world.leaderNode() && !holders.has(node)) as string;
+	assert.ok(restarted, `${[...holders]} hold allotments`);
+	const submitTooWide = (id: string) => world.submit(restarted, { id, pieces: 1, cores: 4 });
+	assert.equal((await submitTooWide("j-000002")).status, 422);
+	world.crash(restarted);
+	await world.time.advance(1000);
+	world.start(restarted);
+	await world.time.advance(10_000);
+	assert.equal((await submitTooWide("j-000003")).status, 422);
+	assert.deepEqual(world.violations, []);
+});
+
 test("admission within allotments continues during an outage of the state service", async () => {
 	const world = new World(6, nodeNames, false, true);
 	await world.time.advance(2000);
