Team quota: the check of charges logs amounts in CPUs and accelerators

What operators saw: expected and found in thousandths, beside limit in units. Amounts are converted in one place (inUnits). The new test fails without it (expected cpus 0.5, actual 500).

--- a/packages/team-quota/src/allotment-writer.ts
+++ b/packages/team-quota/src/allotment-writer.ts
@@ -1,5 +1,5 @@
 import { AllotmentChangeLog } from "./allotment-change-log.js";
-import { sameAmount, toUnits } from "./amount.js";
+import { inUnits, sameAmount } from "./amount.js";
 import { allotmentOf, type QuotaRecord } from "./record.js";
 import type {
 	QuotaStore,
@@ -144,7 +144,7 @@
 		if (!before || !after) return;
 		const { team, revision, inForce } = after;
 		if (before.revision !== revision) {
-			const limit = { cpus: toUnits(inForce.limit.cpus), gpus: toUnits(inForce.limit.gpus) };
+			const limit = inUnits(inForce.limit);
 			this.options.log.info({ team, revision, limit }, "team limit in force");
 		}
 		for (const { node, amount, reason } of after.allotments) {
--- a/packages/team-quota/src/amount.ts
+++ b/packages/team-quota/src/amount.ts
@@ -50,6 +50,11 @@
 	return value >= unlimited ? Number.POSITIVE_INFINITY : value / thousandthsPerUnit;
 }
 
+/** Returns the amount in CPUs and accelerators; Infinity for no limit. */
+export function inUnits({ cpus, gpus }: Amount): { cpus: number; gpus: number } {
+	return { cpus: toUnits(cpus), gpus: toUnits(gpus) };
+}
+
 function combineAmounts(a: Amount, b: Amount, combineDimension: (x: number, y: number) => number): Amount {
 	return { cpus: combineDimension(a.cpus, b.cpus), gpus: combineDimension(a.gpus, b.gpus) };
 }
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -1,7 +1,15 @@
 import { advanceRecord, excessOverPendingLimit, type HolderState, initialRecord } from "./advance-record.js";
 import { AllotmentWriter, type AllotmentWriterOptions } from "./allotment-writer.js";
-import { type Amount, addAmounts, fitsWithin, isZeroAmount, subtractAmounts, zeroAmount } from "./amount.js";
-import { findDifferences, PersistentDifferences } from "./charge-verification.js";
+import {
+	type Amount,
+	addAmounts,
+	fitsWithin,
+	inUnits,
+	isZeroAmount,
+	subtractAmounts,
+	zeroAmount,
+} from "./amount.js";
+import { findDifferences, PersistentDifferences, type QuotaDifference } from "./charge-verification.js";
 import { type Charge, ChargeLedger } from "./charges.js";
 import { DemandTable } from "./demand.js";
 import type { AllotmentUpdate, HolderReply, TeamAllotmentUpdate } from "./holder-messages.js";
@@ -244,8 +252,16 @@
 				tolerance,
 			});
 		});
-		for (const { message, ...fields } of this.persistentDifferences.takePersistent(differences))
-			this.options.log.error(fields, message);
+		for (const difference of this.persistentDifferences.takePersistent(differences))
+			this.logDifference(difference);
+	}
+
+	private logDifference({ message, expected, found, ...fields }: QuotaDifference): void {
+		const amounts = {
+			...(expected && { expected: inUnits(expected) }),
+			...(found && { found: inUnits(found) }),
+		};
+		this.options.log.error({ ...fields, ...amounts }, message);
 	}
 
 	/** Applies a stored value; undefined if the key was deleted. */
--- a/packages/team-quota/src/quota-service.ts
+++ b/packages/team-quota/src/quota-service.ts
@@ -2,9 +2,9 @@
 	type Amount,
 	addAmounts,
 	demandAmount,
+	inUnits,
 	isZeroAmount,
 	multiplyAmount,
-	toUnits,
 	unlimited,
 	zeroAmount,
 } from "./amount.js";
@@ -59,8 +59,8 @@
 		const { limit, guarantee } = limits;
 		return {
 			name: team,
-			guaranteed: { cpus: toUnits(guarantee.cpus), gpus: toUnits(guarantee.gpus) },
-			limit: { cpus: toUnits(limit.cpus), gpus: toUnits(limit.gpus) },
+			guaranteed: inUnits(guarantee),
+			limit: inUnits(limit),
 		};
 	}
 
@@ -182,6 +182,6 @@
 	/** Returns the amount that the team runs above a lower limit that is pending, or null if there is none. */
 	excessOverPendingLimit(team: string): { cpus: number; gpus: number } | null {
 		const excess = this.manager.excessOverPendingLimit(team);
-		return isZeroAmount(excess) ? null : { cpus: toUnits(excess.cpus), gpus: toUnits(excess.gpus) };
+		return isZeroAmount(excess) ? null : inUnits(excess);
 	}
 }
--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -19,6 +19,7 @@
 	readonly store = new ControlledStore();
 	readonly infoMessages: string[] = [];
 	readonly errorMessages: string[] = [];
+	readonly errorFields: object[] = [];
 	private startedProcesses = 0;
 
 	constructor(
@@ -45,7 +46,10 @@
 			post: (command) => command(),
 			log: {
 				info: (_fields, message) => this.infoMessages.push(message),
-				error: (_fields, message) => this.errorMessages.push(message),
+				error: (fields, message) => {
+					this.errorMessages.push(message);
+					this.errorFields.push(fields);
+				},
 			},
 		});
 		for (const [key, row] of this.store.rowsByKey)
@@ -391,6 +395,21 @@
 	assert.deepEqual(takeErrorMessages(), ["charged amount differs from running tasks"]);
 });
 
+// Guards against amounts in thousandths in some log lines, beside limits in CPUs and accelerators in others.
+test("verification logs amounts in CPUs and accelerators", async () => {
+	const cluster = new TestCluster();
+	const { manager } = await cluster.allotAllTo(cluster.startProcess("b"));
+	manager.charges.add("red", "b", { cpus: 1500, gpus: 250 });
+	const running = new Map([["red", { amount: { cpus: 500, gpus: 0 }, tolerance: zeroAmount }]]);
+	for (let i = 0; i < 2; i++) manager.verifyCharges(running);
+	const difference = cluster.errorFields.find((fields) => !("holder" in fields));
+	assert.deepEqual(difference, {
+		team: "red",
+		expected: { cpus: 0.5, gpus: 0 },
+		found: { cpus: 1.5, gpus: 0.25 },
+	});
+});
+
 test("400 teams in a fleet of 4,000 machines fit into values and requests, and only changes are written and sent", async () => {
 	const teams = new Map<string, LimitAndGuarantee>();
 	for (let i = 0; i < 400; i++)
