--- a/packages/team-quota/tests/support/simulated-cluster.ts
+++ b/packages/team-quota/tests/support/simulated-cluster.ts
@@ -4,12 +4,13 @@
 import type { Charge } from "../../src/charges.js";
 import type { AllotmentUpdate } from "../../src/holder-messages.js";
 import type { AllotmentManager } from "../../src/manager.js";
-import { unpackValue } from "../../src/packed-record.js";
 import { QuotaParticipant } from "../../src/quota-participant.js";
 import type { LimitAndGuarantee } from "../../src/record.js";
-import type { QuotaStore, QuotaWriteResult, StoredChange, StoredCondition } from "../../src/stored-values.js";
+import type { QuotaStore } from "../../src/stored-values.js";
 import { AdmissionRecord } from "./admission-record.js";
+import { EventQueue } from "./event-queue.js";
 import type { History } from "./history.js";
+import { SimulatedStore } from "./simulated-store.js";
 
 const prefix = "quota/";
 const leaderKey = "leader";
@@ -50,19 +51,21 @@
  * enforces limits. The election is assumed to be correct: there is one leader at a time.
  */
 export class SimulatedCluster {
-	now = 0;
 	readonly processes = new Map<string, Process>();
 	readonly history: History = { tasks: [], refusals: [], limitChanges: [], maxInformationAgeMs: 3000 };
 	longestWaitMs = 0;
-	outage = false;
 	faults: FaultSettings = { messageLossRate: 0, writeFailureRate: 0, maxDelayMs: 3 };
-	storeWrites = 0;
 	readonly logs: string[] = [];
 	private readonly tasks = new Map<string, AdmissionRecord>();
-	private readonly rows = new Map<string, { value: unknown; revision: number }>();
-	private revision = 0;
-	private readonly events: { at: number; order: number; run: () => void }[] = [];
-	private lastEventOrder = 0;
+	private readonly events = new EventQueue();
+	private readonly store = new SimulatedStore({
+		randomInt: (from, to) => this.randomInt(from, to),
+		randomChance: (probability) => this.randomChance(probability),
+		schedule: (ms, run) => this.schedule(ms, run),
+		writeFailureRate: () => this.faults.writeFailureRate,
+		onWritten: (key, value, revision) => this.notifyOfWrite(key, value, revision),
+		onLimitWritten: (change) => this.history.limitChanges.push({ ...change, at: this.now }),
+	});
 	private leader: Process | null = null;
 	private term = 0;
 	private startedProcesses = 0;
@@ -90,23 +93,16 @@
 
 	// --- time ---
 
+	get now(): number {
+		return this.events.now;
+	}
+
 	schedule(ms: number, run: () => void): void {
-		this.lastEventOrder += 1;
-		this.events.push({ at: this.now + ms, order: this.lastEventOrder, run });
+		this.events.schedule(ms, run);
 	}
 
-	async run(ms: number): Promise<void> {
-		const until = this.now + ms;
-		for (;;) {
-			this.events.sort((a, b) => b.at - a.at || b.order - a.order);
-			const next = this.events.at(-1);
-			if (!next || next.at > until) break;
-			this.events.pop();
-			this.now = Math.max(this.now, next.at);
-			next.run();
-			for (let i = 0; i < 8; i++) await Promise.resolve();
-		}
-		this.now = until;
+	run(ms: number): Promise<void> {
+		return this.events.run(ms);
 	}
 
 	// --- processes ---
@@ -138,7 +134,7 @@
 				keyPrefix: prefix,
 				maxValueBytes: 2000,
 				maxChangesPerTransaction: 4,
-				store: this.createStore(),
+				store: this.store.createClient(),
 				now,
 				date: () => this.now,
 				post: (command) => this.runOn(process, command),
@@ -146,7 +142,8 @@
 			}),
 		};
 		this.processes.set(node, process);
-		for (const [key, row] of this.rows) process.participant.applyStoredValue(key, row.value, row.revision);
+		for (const [key, row] of this.store.rows)
+			process.participant.applyStoredValue(key, row.value, row.revision);
 		this.scheduleTurns(process);
 	}
 
@@ -189,9 +186,7 @@
 		const process = this.processes.get(node);
 		if (!process || process.heldWhilePaused) return;
 		this.leader?.participant.endTerm();
-		this.revision += 1;
-		this.term = this.revision;
-		this.rows.set(leaderKey, { value: node, revision: this.term });
+		this.term = this.store.put(leaderKey, node);
 		this.leader = process;
 		const manager = process.participant.beginTerm({ key: leaderKey, revision: this.term });
 		process.manager = manager;
@@ -348,73 +343,28 @@
 
 	// --- the store ---
 
-	private createStore(): QuotaStore {
-		const throwDuringOutage = () => {
-			if (this.outage) throw new Error("out");
-		};
-		return {
-			read: async (key) => {
-				throwDuringOutage();
-				const row = this.rows.get(key);
-				return row ? { key, ...row } : null;
-			},
-			readPrefix: async (keyPrefix) => {
-				throwDuringOutage();
-				return [...this.rows]
-					.filter(([key]) => key.startsWith(keyPrefix))
-					.map(([key, row]) => ({ key, ...row }));
-			},
-			transact: async (conditions, changes) => {
-				throwDuringOutage();
-				if (!this.randomChance(this.faults.writeFailureRate)) return this.transact(conditions, changes);
-				// The write is executed now, later or never, and gets no answer in any case.
-				if (this.randomChance(0.7))
-					this.schedule(this.randomInt(0, 400), () => void this.transact(conditions, changes));
-				throw new Error("no answer");
-			},
-		};
+	get outage(): boolean {
+		return this.store.outage;
 	}
 
-	private transact(conditions: StoredCondition[], changes: StoredChange[]): QuotaWriteResult {
-		const keys = conditions
-			.filter(({ key, revision }) => (this.rows.get(key)?.revision ?? 0) !== revision)
-			.map(({ key }) => key);
-		if (keys.length > 0) return { kind: "conflict", keys };
-		this.revision += 1;
-		this.storeWrites += 1;
-		for (const { key, value } of changes) this.write(key, value, this.revision);
-		return { kind: "written", revision: this.revision };
+	set outage(outage: boolean) {
+		this.store.outage = outage;
 	}
 
-	private write(key: string, value: unknown, revision: number): void {
-		this.rows.set(key, { value, revision });
-		const { records, faults } = unpackValue(value);
-		if (faults.length > 0) throw new Error(`written: ${JSON.stringify(faults)}`);
-		for (const { team, inForce } of records.values()) {
-			const { limit, guarantee } = inForce;
-			this.history.limitChanges.push({
-				team,
-				at: this.now,
-				limit: [limit.cpus, limit.gpus],
-				guarantee: [guarantee.cpus, guarantee.gpus],
-			});
-		}
-		for (const process of this.processes.values())
-			this.schedule(this.randomInt(1, 20), () =>
-				this.runOn(process, () => process.participant.applyStoredValue(key, value, revision)),
-			);
+	get storeWrites(): number {
+		return this.store.writeCount;
 	}
 
 	/** The store as an operator's command uses it. */
 	get operatorStore(): QuotaStore {
-		return this.createStore();
+		return this.store.createClient();
 	}
 
-	overwriteValue(key: string, value: unknown): void {
-		this.revision += 1;
-		this.rows.set(key, { value, revision: this.revision });
-		const { revision } = this;
-		for (const process of this.processes.values()) process.participant.applyStoredValue(key, value, revision);
+	private notifyOfWrite(key: string, value: unknown, revision: number): void {
+		for (const process of this.processes.values())
+			this.schedule(this.randomInt(1, 20), () =>
+				this.runOn(process, () => process.participant.applyStoredValue(key, value, revision)),
+			);
 	}
 
 	/** Returns the history in the form that the checker reads. */
