--- a/src/coordination/preemption/preemption-planner.ts
+++ b/src/coordination/preemption/preemption-planner.ts
@@ -4,6 +4,7 @@
 import { machineAllowed } from "../../bookkeeping/machine-fit.js";
 import { type JobSpec, priorityRank } from "../../protocol/model/job.js";
 import type { TeamQuota } from "../../protocol/model/team-quota.js";
+import type { ResourceAmounts } from "../placement/free-capacity.js";
 import type { ClusterState } from "../state/cluster-state.js";
 
 /**
@@ -82,12 +83,6 @@
 /** Maximum number of machines searched for tasks to stop: a random sample if there are more. */
 const maxSampledMachines = 150;
 
-interface ResourceAmounts {
-	cpus: number;
-	memory: number;
-	gpus: number;
-}
-
 /**
  * One pass over the waiting jobs. It reads all machines and attempts once; the cost of the rest is in
  * proportion to what is found. With a backlog of hundreds of jobs, a search of all machines for each task would
