Simulation of team quota: a settled admission ends with the write that frees its amount

The fault is in the check.

Cause: the history counted an admission of a live holder until the holder heard that it was settled. A later reply settles what was sent before it, and the leader may release it at once.

Why the check is replaced, and by what: such a task starts on no path. A start after the delivery is a violation.

--- a/packages/team-quota/tests/admission-record.test.ts
+++ b/packages/team-quota/tests/admission-record.test.ts
@@ -24,20 +24,45 @@
 }
 
 // Guards against seeds 321 and 359 of the simulation: a lost proposal of an ended process counted until the expiry.
-test("an admission of an ended process counts until no copy of its proposal can be delivered", () => {
+test("an admission of an ended process counts until no copy can be delivered and its stored allotment is lowered", () => {
 	const lost = admit();
 	lost.admittingProcessEnded(150);
-	assert.equal(lost.toHistory(1000).endedAt, 150);
+	assert.equal(lost.toHistory(1000).endedAt, expiresAt, "its allotment is stored as before");
+	lost.storedAllotmentLowered(300);
+	assert.equal(lost.toHistory(1000).endedAt, 300);
 	const inFlight = admit();
 	inFlight.copySent();
 	inFlight.copySent();
 	inFlight.admittingProcessEnded(150);
+	inFlight.storedAllotmentLowered(180);
 	inFlight.copyGone(200);
 	assert.equal(inFlight.toHistory(250).endedAt, 250, "the second copy may still start the task");
 	inFlight.copyGone(300);
 	assert.equal(inFlight.toHistory(1000).endedAt, 300);
 });
 
+// Guards against seeds 711 and 2132 of the simulation: a settled admission counted until its holder heard of that.
+test("an admission settled by a later reply counts until a write after that lowers its stored allotment", () => {
+	const record = admit();
+	record.sentWith(7);
+	record.copySent();
+	record.storedAllotmentLowered(110);
+	record.replyDelivered(6, 120);
+	record.replyDelivered(7, 130);
+	record.storedAllotmentLowered(140);
+	assert.equal(
+		record.toHistory(1000).endedAt,
+		expiresAt,
+		"only an earlier reply, and its own, were delivered",
+	);
+	record.replyDelivered(8, 150);
+	assert.equal(record.toHistory(1000).endedAt, expiresAt, "nothing was written since");
+	record.storedAllotmentLowered(160);
+	assert.equal(record.toHistory(1000).endedAt, 160);
+	record.recordStart(170);
+	assert.deepEqual(violationsOf(record), ["170 red: t1 started, but was unable to start since 150"]);
+});
+
 test("a lost admission of a live process counts until its holder drops it or its allotment expires", () => {
 	const record = admit();
 	record.copySent();
--- a/packages/team-quota/tests/simulation-regressions.test.ts
+++ b/packages/team-quota/tests/simulation-regressions.test.ts
@@ -11,6 +11,8 @@
 const regressions = [
 	{ seed: 321, found: "a lost proposal of an ended process counted until the expiry" },
 	{ seed: 359, found: "a lost proposal of an ended process counted until the expiry" },
+	{ seed: 711, found: "a settled admission counted until its holder heard of that" },
+	{ seed: 2132, found: "a settled admission counted until its holder heard of that" },
 ];
 
 for (const { seed, found } of regressions) {
--- a/packages/team-quota/tests/support/simulated-cluster.ts
+++ b/packages/team-quota/tests/support/simulated-cluster.ts
@@ -5,12 +5,13 @@
 import type { AllotmentUpdate } from "../../src/holder-messages.js";
 import type { AllotmentManager } from "../../src/manager.js";
 import { QuotaParticipant } from "../../src/quota-participant.js";
-import type { LimitAndGuarantee } from "../../src/record.js";
+import type { LimitAndGuarantee, QuotaRecord } from "../../src/record.js";
 import type { QuotaStore } from "../../src/stored-values.js";
 import { AdmissionRecord } from "./admission-record.js";
 import { EventQueue } from "./event-queue.js";
 import type { History } from "./history.js";
 import { SimulatedStore } from "./simulated-store.js";
+import { StoredAllotments } from "./stored-allotments.js";
 
 const prefix = "quota/";
 const leaderKey = "leader";
@@ -57,6 +58,9 @@
 	faults: FaultSettings = { messageLossRate: 0, writeFailureRate: 0, maxDelayMs: 3 };
 	readonly logs: string[] = [];
 	private readonly tasks = new Map<string, AdmissionRecord>();
+	/** By incarnation of the process that admitted them. */
+	private readonly admissionsByProcess = new Map<string, AdmissionRecord[]>();
+	private readonly storedAllotments = new StoredAllotments();
 	private readonly events = new EventQueue();
 	private readonly store = new SimulatedStore({
 		randomInt: (from, to) => this.randomInt(from, to),
@@ -64,7 +68,7 @@
 		schedule: (ms, run) => this.schedule(ms, run),
 		writeFailureRate: () => this.faults.writeFailureRate,
 		onWritten: (key, value, revision) => this.notifyOfWrite(key, value, revision),
-		onLimitWritten: (change) => this.history.limitChanges.push({ ...change, at: this.now }),
+		onRecordWritten: (record) => this.recordWrite(record),
 	});
 	private leader: Process | null = null;
 	private term = 0;
@@ -142,6 +146,7 @@
 			}),
 		};
 		this.processes.set(node, process);
+		this.admissionsByProcess.set(incarnation, []);
 		for (const [key, row] of this.store.rows)
 			process.participant.applyStoredValue(key, row.value, row.revision);
 		this.scheduleTurns(process);
@@ -264,6 +269,7 @@
 			task.expiresAt = validMs > 0 ? this.now + validMs : Number.POSITIVE_INFINITY;
 			this.recordAdmission(process.node, task);
 			process.sentBatches.set(task, process.participant.closeBatch());
+			this.admissionsByProcess.get(process.incarnation)?.push(task);
 		} else {
 			this.recordWaitStart(process.node, team);
 			if (admission.reason === "team at its limit")
@@ -291,9 +297,11 @@
 	): void {
 		const requestedAmount = { cpus: request.size.cpus * 4, gpus: request.size.gpus * 4 };
 		const reply = process.participant.reply([{ team: request.team, amount: requestedAmount }]);
+		task?.sentWith(reply.number);
 		if (!this.leader) return;
 		const deliver = (to: Process) => {
 			if (to !== this.leader) return;
+			for (const sent of process.sentBatches.keys()) sent.replyDelivered(reply.number, this.now);
 			const accepted = to.participant.handleReply(process.node, JSON.parse(JSON.stringify(reply)));
 			if (!task) return;
 			const starts = accepted && to.manager?.mayStart(process.node, task.team, task.size) === true;
@@ -360,6 +368,21 @@
 		return this.store.createClient();
 	}
 
+	private recordWrite(record: QuotaRecord): void {
+		const { team, inForce } = record;
+		const { limit, guarantee } = inForce;
+		this.history.limitChanges.push({
+			team,
+			at: this.now,
+			limit: [limit.cpus, limit.gpus],
+			guarantee: [guarantee.cpus, guarantee.gpus],
+		});
+		for (const { incarnation, cpus, gpus } of this.storedAllotments.apply(record))
+			for (const task of this.admissionsByProcess.get(incarnation) ?? [])
+				if (task.team === team && ((cpus && task.size.cpus > 0) || (gpus && task.size.gpus > 0)))
+					task.storedAllotmentLowered(this.now);
+	}
+
 	private notifyOfWrite(key: string, value: unknown, revision: number): void {
 		for (const process of this.processes.values())
 			this.schedule(this.randomInt(1, 20), () =>
--- a/packages/team-quota/tests/support/simulated-store.ts
+++ b/packages/team-quota/tests/support/simulated-store.ts
@@ -1,6 +1,6 @@
 import { unpackValue } from "../../src/packed-record.js";
+import type { QuotaRecord } from "../../src/record.js";
 import type { QuotaStore, QuotaWriteResult, StoredChange, StoredCondition } from "../../src/stored-values.js";
-import type { LimitChange } from "./history.js";
 
 interface Row {
 	value: unknown;
@@ -15,8 +15,8 @@
 	writeFailureRate(): number;
 	/** Called with each written value. */
 	onWritten(key: string, value: unknown, revision: number): void;
-	/** Called with the limit in force of each record that is written. */
-	onLimitWritten(change: Omit<LimitChange, "at">): void;
+	/** Called with each record of a written value. */
+	onRecordWritten(record: QuotaRecord): void;
 }
 
 const maxWriteDelayMs = 400;
@@ -88,14 +88,7 @@
 		this.rows.set(key, { value, revision });
 		const { records, faults } = unpackValue(value);
 		if (faults.length > 0) throw new Error(`written: ${JSON.stringify(faults)}`);
-		for (const { team, inForce } of records.values()) {
-			const { limit, guarantee } = inForce;
-			this.options.onLimitWritten({
-				team,
-				limit: [limit.cpus, limit.gpus],
-				guarantee: [guarantee.cpus, guarantee.gpus],
-			});
-		}
+		for (const record of records.values()) this.options.onRecordWritten(record);
 		this.options.onWritten(key, value, revision);
 	}
 }
