--- a/packages/team-quota/tests/admission-record.test.ts
+++ b/packages/team-quota/tests/admission-record.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { allot, newRecord } from "../src/record.js";
 import { AdmissionRecord } from "./support/admission-record.js";
 import { findViolations, type History } from "./support/history.js";
+import { StoredAllotments } from "./support/stored-allotments.js";
 
 const admittedAt = 100;
 const expiresAt = 700;
@@ -24,17 +26,17 @@
 }
 
 // Guards against seeds 321 and 359 of the simulation: a lost proposal of an ended process counted until the expiry.
-test("an admission of an ended process counts until no copy can be delivered and its stored allotment is lowered", () => {
+test("an admission of an ended process counts until no copy can be delivered and its stored allotment is removed", () => {
 	const lost = admit();
 	lost.admittingProcessEnded(150);
 	assert.equal(lost.toHistory(1000).endedAt, expiresAt, "its allotment is stored as before");
-	lost.storedAllotmentLowered(300);
+	lost.storedAllotmentRemoved(300);
 	assert.equal(lost.toHistory(1000).endedAt, 300);
 	const inFlight = admit();
 	inFlight.copySent();
 	inFlight.copySent();
 	inFlight.admittingProcessEnded(150);
-	inFlight.storedAllotmentLowered(180);
+	inFlight.storedAllotmentRemoved(180);
 	inFlight.copyGone(200);
 	assert.equal(inFlight.toHistory(250).endedAt, 250, "the second copy may still start the task");
 	inFlight.copyGone(300);
@@ -42,14 +44,13 @@
 });
 
 // Guards against seeds 711 and 2132 of the simulation: a settled admission counted until its holder heard of that.
-test("an admission settled by a later reply counts until a write after that lowers its stored allotment", () => {
+test("an admission settled by a later reply counts until a write after that takes its amount off the allotment", () => {
 	const record = admit();
 	record.sentWith(7);
 	record.copySent();
-	record.storedAllotmentLowered(110);
 	record.replyDelivered(6, 120);
 	record.replyDelivered(7, 130);
-	record.storedAllotmentLowered(140);
+	record.releaseIfUnableToStart(140);
 	assert.equal(
 		record.toHistory(1000).endedAt,
 		expiresAt,
@@ -57,12 +58,35 @@
 	);
 	record.replyDelivered(8, 150);
 	assert.equal(record.toHistory(1000).endedAt, expiresAt, "nothing was written since");
-	record.storedAllotmentLowered(160);
+	record.releaseIfUnableToStart(160);
 	assert.equal(record.toHistory(1000).endedAt, 160);
 	record.recordStart(170);
 	assert.deepEqual(violationsOf(record), ["170 red: t1 started, but was unable to start since 150"]);
 });
 
+test("a write releases no more settled admissions than the amount that it takes off", () => {
+	const allotments = new StoredAllotments();
+	const write = (cpus: number, now: number) => {
+		const limits = { limit: { cpus: 9000, gpus: 0 }, guarantee: { cpus: 0, gpus: 0 } };
+		const empty = newRecord("red", limits);
+		allotments.recordWrite(allot(empty, "b", "p1", { cpus, gpus: 0 }), now);
+	};
+	write(4000, 90);
+	const records = [admit(), admit(), admit()];
+	for (const record of records) {
+		allotments.recordAdmission("p1", record);
+		record.sentWith(1);
+		record.replyDelivered(2, 110);
+	}
+	write(2500, 120);
+	const endsOf = () => records.map((record) => record.toHistory(1000).endedAt);
+	assert.deepEqual(endsOf(), [120, 120, expiresAt]);
+	write(3500, 130);
+	assert.deepEqual(endsOf(), [120, 120, expiresAt], "a write that adds releases nothing");
+	write(0, 140);
+	assert.deepEqual(endsOf(), [120, 120, 140], "a write that removes the allotment releases all");
+});
+
 test("a lost admission of a live process counts until its holder drops it or its allotment expires", () => {
 	const record = admit();
 	record.copySent();
--- a/packages/team-quota/tests/support/admission-record.ts
+++ b/packages/team-quota/tests/support/admission-record.ts
@@ -7,7 +7,7 @@
  *
  * An admission that does not start counts until it is refused, until its holder drops it, or until its holder's allotment
  * expires. It counts no longer than that, and less long only if two things have happened: no copy of its reply can start
- * it, and a write has lowered the stored allotment that it was admitted against.
+ * it, and a write has taken its amount off the stored allotment that it was admitted against.
  */
 export class AdmissionRecord {
 	/** Simulated time at which the holder's allotment expires. */
@@ -24,7 +24,7 @@
 	/** Copies of the reply that may still be delivered, including those that wait at a paused process. */
 	private copiesInFlight = 0;
 	private processEnded = false;
-	private allotmentLowered = false;
+	private allotmentRemoved = false;
 
 	constructor(
 		readonly id: string,
@@ -67,7 +67,7 @@
 		if (!this.processEnded || this.copiesInFlight > 0 || this.started) return;
 		this.unableToStartSince ??= now;
 		// The allotment of an ended process may have been replaced while a copy was in flight, which was then refused.
-		if (this.allotmentLowered) this.releasedAt ??= now;
+		if (this.allotmentRemoved) this.releasedAt ??= now;
 	}
 
 	/** Records that a leader has received a reply of the same process. A later reply settles what was sent before it. */
@@ -75,10 +75,20 @@
 		if (!this.started && replyNumber > this.replyNumber) this.unableToStartSince ??= now;
 	}
 
-	/** Records that a write has lowered or removed the stored allotment that the task was admitted against. */
-	storedAllotmentLowered(now: number): void {
-		this.allotmentLowered = true;
-		if (this.unableToStartSince !== null) this.releasedAt ??= now;
+	/** Records that a write has removed the stored allotment that the task was admitted against. */
+	storedAllotmentRemoved(now: number): void {
+		this.allotmentRemoved = true;
+		this.releaseIfUnableToStart(now);
+	}
+
+	/** True if the task can no longer start, and its amount has not been taken off the stored allotment. */
+	get awaitsRelease(): boolean {
+		return !this.started && this.unableToStartSince !== null && this.releasedAt === null;
+	}
+
+	/** Records that a write has taken the amount of a task that cannot start off the stored allotment. */
+	releaseIfUnableToStart(now: number): void {
+		if (this.awaitsRelease) this.releasedAt = now;
 	}
 
 	/** Records that the task was refused by a leader, or dropped by its holder. */
--- a/packages/team-quota/tests/support/simulated-cluster.ts
+++ b/packages/team-quota/tests/support/simulated-cluster.ts
@@ -58,8 +58,6 @@
 	faults: FaultSettings = { messageLossRate: 0, writeFailureRate: 0, maxDelayMs: 3 };
 	readonly logs: string[] = [];
 	private readonly tasks = new Map<string, AdmissionRecord>();
-	/** By incarnation of the process that admitted them. */
-	private readonly admissionsByProcess = new Map<string, AdmissionRecord[]>();
 	private readonly storedAllotments = new StoredAllotments();
 	private readonly events = new EventQueue();
 	private readonly store = new SimulatedStore({
@@ -146,7 +144,6 @@
 			}),
 		};
 		this.processes.set(node, process);
-		this.admissionsByProcess.set(incarnation, []);
 		for (const [key, row] of this.store.rows)
 			process.participant.applyStoredValue(key, row.value, row.revision);
 		this.scheduleTurns(process);
@@ -269,7 +266,7 @@
 			task.expiresAt = validMs > 0 ? this.now + validMs : Number.POSITIVE_INFINITY;
 			this.recordAdmission(process.node, task);
 			process.sentBatches.set(task, process.participant.closeBatch());
-			this.admissionsByProcess.get(process.incarnation)?.push(task);
+			this.storedAllotments.recordAdmission(process.incarnation, task);
 		} else {
 			this.recordWaitStart(process.node, team);
 			if (admission.reason === "team at its limit")
@@ -377,10 +374,7 @@
 			limit: [limit.cpus, limit.gpus],
 			guarantee: [guarantee.cpus, guarantee.gpus],
 		});
-		for (const { incarnation, cpus, gpus } of this.storedAllotments.apply(record))
-			for (const task of this.admissionsByProcess.get(incarnation) ?? [])
-				if (task.team === team && ((cpus && task.size.cpus > 0) || (gpus && task.size.gpus > 0)))
-					task.storedAllotmentLowered(this.now);
+		this.storedAllotments.recordWrite(record, this.now);
 	}
 
 	private notifyOfWrite(key: string, value: unknown, revision: number): void {
