--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,4 +1,4 @@
-/** Users submit 100 arrays within a minute and a half, each of as many tasks as the protocol allows. */
+/** For a while, arrays of one class come three times as often, each with as many tasks as the protocol allows. */
 
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -6,16 +6,18 @@
 import { Cluster, openRecord } from "../common/cluster.mjs";
 import { call, now, sleep } from "../common/http.mjs";
 import { jobBody, TaskEvents } from "../common/rules.mjs";
-import { crucigramaNorte as site } from "../common/sites.mjs";
+import { crucigramaNorteFleet as site } from "../common/sites.mjs";
 import { StateService } from "../common/state-service.mjs";
 
 const trouble = process.env.TROUBLE !== "0";
-/** The most tasks of a job: of the protocol, and of the site's class `rejilla`. */
-const pieces = trouble ? 100_000 : 189;
-/** As many as the site has at the start (11 and 14), then 55 a minute: 4.4 times the site's 3.9 and 8.6 together. */
-const jobsAtStart = 25;
-const jobs = 100;
-const betweenJobsMs = 1100;
+/** `rejilla`: tasks of each job: at most 100,000 in the protocol, at most 700 in the site's pages. */
+const pieces = trouble ? 100_000 : 700;
+const classes = [
+	{ lane: "rejilla", urgency: "normal", pieces, image_gb: 1.8, atStart: 44, perMinute: trouble ? 3 * 15 : 15 },
+	{ lane: "cierre", urgency: "urgent", pieces: 18, image_gb: 0.8, atStart: 68, perMinute: 33 },
+];
+/** The jobs of the start come within this time. */
+const startMs = 15_000;
 const restartDelayMs = 4000;
 const observedMs = 105_000;
 
@@ -25,7 +27,7 @@
 const world = { workers: site.cluster.workers, jobs: new Map(), done: new Set(), events, nodes: [] };
 const state = new StateService(site.cluster.state, record);
 const { rps, list_lag_s: listLagS } = site.cluster.cloud;
-const cloud = new Cloud(world, { shapes: site.shapes, capacity: 28, bootMs: () => 30_000, rps, listLagS }, record);
+const cloud = new Cloud(world, { shapes: site.shapes, capacity: 60, bootMs: () => 30_000, rps, listLagS }, record);
 await state.start();
 await cloud.start();
 const cluster = new Cluster(site, { cloud: cloud.address, state: state.address }, record);
@@ -67,23 +69,27 @@
 	const startedAt = now();
 	const polling = poll(startedAt);
 	const submissions = [];
-	for (let n = 0; n < jobs; n++) {
-		const id = `j-${String(n).padStart(6, "0")}`;
-		const desk = `definiciones-${String(n % 16).padStart(2, "0")}`;
-		const body = jobBody({ id, desk, lane: "rejilla", pieces, image_gb: 1.8, guess_s: 30.0 });
-		world.jobs.set(id, { ...body, run_s: 30 });
-		submissions.push(submit(body));
-		await sleep(n < jobsAtStart ? 100 : betweenJobsMs);
-	}
+	let count = 0;
+	const arrive = async ({ lane, urgency, pieces, image_gb, atStart, perMinute }) => {
+		for (let n = 0; now() - startedAt < observedMs - 5000; n++) {
+			const id = `j-${String(count).padStart(6, "0")}`;
+			const desk = `definiciones-${String(count % 16).padStart(2, "0")}`;
+			count += 1;
+			const body = jobBody({ id, desk, lane, urgency, pieces, image_gb, guess_s: 30.0 });
+			world.jobs.set(id, { ...body, run_s: 30 });
+			submissions.push(submit(body));
+			await sleep(n < atStart ? startMs / atStart : 60_000 / perMinute);
+		}
+	};
+	await Promise.all(classes.map(arrive));
 	await polling;
 	stopping = true;
-	await Promise.all(submissions);
 	result = cluster.unexpectedEnds > 0 ? 1 : accepted.length > 0 ? 0 : 2;
 }
 await cluster.stop();
 cloud.stop();
 state.stop();
-const summary = `${accepted.length} jobs of ${pieces} tasks accepted, ${refused} refused; ${cluster.unexpectedEnds} processes ended by themselves`;
+const summary = `${accepted.length} jobs accepted, ${refused} refused, rejilla with ${pieces} tasks each; ${cluster.unexpectedEnds} processes ended by themselves`;
 record(`${summary}; exit ${result}`);
 await record.close();
 console.log(summary);
--- a/review/common/sites.mjs
+++ b/review/common/sites.mjs
@@ -55,3 +55,16 @@
 		{ sku: "godown", cores: 64, accelerators: 0, ram_gb: 128, local_gb: 60, fetch_gb_per_s: 0.4, rate: 4.41, market_price: 1.56, boot_s: 20, halls: ["ahmedabad", "rajkot", "surat", "vadodara"] },
 	],
 };
+
+export const crucigramaNorteFleet = {
+	nodes: ["oviedo", "santander", "bilbao", "oviedo", "santander"],
+	cluster: {
+		...crucigramaNorte.cluster,
+		workers: { report_s: 2.5, lease_s: 15.25, gang_wait_s: 45.0, gang_peer_s: 4.0, cancel_s: 40.25 },
+		state: { rps: 350.0, write_rps: 40.0, value_kb: 16.0, txn_ops: 12 },
+		cloud: { rps: 4.0, list_lag_s: 6.0 },
+		resources: { cores: 0.255, ram_mb: 210.0, fd_limit: 1518 },
+	},
+	teams: teamsOf("definiciones", 16, 300, 800),
+	shapes: crucigramaNorte.shapes,
+};
