--- a/review/common/cluster.mjs
+++ b/review/common/cluster.mjs
@@ -9,6 +9,20 @@
 
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 
+/** The processes that this script has started and that have not ended. */
+const children = new Set();
+
+process.on("exit", () => {
+	for (const child of children) child.kill("SIGKILL");
+});
+process.on("SIGTERM", () => process.exit(2));
+process.on("SIGINT", () => process.exit(2));
+// A fault of the script itself says nothing about the rule.
+process.on("uncaughtException", (error) => {
+	console.error(error);
+	process.exit(2);
+});
+
 /** The program and the arguments of `run` in deploy/service.toml. */
 function runCommand() {
 	const text = readFileSync(join(root, "deploy", "service.toml"), "utf8");
@@ -83,6 +97,8 @@
 			node.log.write(chunk);
 			for (const line of chunk.toString("utf8").split("\n")) this.noteLog(node, line);
 		});
+		children.add(child);
+		child.once("exit", () => children.delete(child));
 		node.child = child;
 		node.killed = false;
 		child.once("exit", (code, signal) => {
