--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -17,9 +17,10 @@
 /** The first crash comes once so many workers have reported to the second controller within 0.3 s, or after 1 s. */
 const recentReports = 12;
 const crashAfterMs = 1000;
-const betweenCrashesMs = 350;
-/** From the second crash to the submission of jobs. */
-const jobsAfterMs = 560;
+/** The time between the crashes, in turn: the shorter, the more time the second process has, as on a slower machine. */
+const betweenCrashesMs = [350, 350, 200];
+/** From the first crash to the submission of jobs; 1 s after it, its workers turn to the second controller. */
+const jobsAfterMs = 910;
 const maxRounds = 13;
 const endBy = now() + 100_000;
 let ran = 0;
@@ -77,15 +78,16 @@
 			return;
 		}
 		ran += 1;
+		const betweenMs = betweenCrashesMs[number % betweenCrashesMs.length];
 		if (trouble) {
 			// The first crash sends its workers to the second controller about one second later.
 			await cluster.kill(other);
 			cluster.startNode(other);
-			await sleep(betweenCrashesMs);
+			await sleep(betweenMs);
 			await cluster.kill(forwarder);
 			cluster.startNode(forwarder);
 		}
-		await sleep(jobsAfterMs);
+		await sleep(jobsAfterMs - betweenMs);
 		record(`jobs are submitted; ${waitingAt(cloud, forwarder)} workers wait for an answer of ${forwarder.name}`);
 		const bodies = site.teams.map(({ name }, i) =>
 			jobBody({ id: `j-${String(1000 * number + i).padStart(6, "0")}`, desk: name, lane: "ledger-sync", pieces: 60, hall: halls[i % halls.length], cores: 4.0, ram_gb: 1.1, image_gb: 0.05, guess_s: 18.0 }),
