--- a/src/coordination/controller-composition.ts
+++ b/src/coordination/controller-composition.ts
@@ -104,6 +104,7 @@
 		node: platform.node,
 		peers,
 		clock,
+		log,
 		activeLeader: () => termSupervisor.activeLeader,
 		leaderInStore: () => replica.leader?.value.node ?? null,
 		reportMisdirectedWorkers: (leader, term) => controller.replyToLeader(leader, term),
--- a/src/coordination/workers/heartbeat-forwarder.ts
+++ b/src/coordination/workers/heartbeat-forwarder.ts
@@ -1,9 +1,10 @@
 /** A follower's side of heartbeat forwarding: passes workers' heartbeats to the leader and returns its responses. */
 
-import type { NodeId, Term } from "../../protocol/model/identifiers.js";
-import type { WorkerCommand, WorkerHeartbeat } from "../../protocol/model/worker.js";
+import type { MachineId, NodeId, Term } from "../../protocol/model/identifiers.js";
+import { startedTaskIds, type WorkerCommand, type WorkerHeartbeat } from "../../protocol/model/worker.js";
 import type { ForwardedHeartbeat, ForwardedResponse } from "../../protocol/peer/messages.js";
 import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
 import type { PeerMessenger } from "../ports/peers.js";
 
 /** Forwarded heartbeats that arrive within this interval share one message; so do the responses to them. */
@@ -17,12 +18,20 @@
 
 /** A forwarded heartbeat that awaits the leader's response. */
 interface ForwardingRequest {
+	machineId: MachineId;
 	/** Monotonic time at which the heartbeat was accepted for forwarding. */
 	sentAt: number;
 	/** Called with null if the leader may not respond, or has not responded in time. */
 	respond(commands: WorkerCommand[] | null): void;
 }
 
+/** Dependencies of a forwarder. */
+export interface HeartbeatForwarderOptions {
+	peers: PeerMessenger;
+	clock: Clock;
+	log: Log;
+}
+
 /**
  * Owns the heartbeats forwarded to the leader that have no response yet. A forwarder makes no decisions and holds no
  * other state: the leader responds to each heartbeat, and the response goes to the worker under the leader's fencing
@@ -38,10 +47,7 @@
 	/** Requests by id, the oldest first. */
 	private readonly requests = new Map<number, ForwardingRequest>();
 
-	constructor(
-		private readonly peers: PeerMessenger,
-		private readonly clock: Clock,
-	) {}
+	constructor(private readonly options: HeartbeatForwarderOptions) {}
 
 	/** Switches to another leader. Requests to the previous one are abandoned; callers may forward them again. */
 	followLeader(leader: NodeId, term: Term): void {
@@ -58,29 +64,47 @@
 	 *   respond or has not responded in time.
 	 */
 	forward(heartbeat: WorkerHeartbeat): Promise<WorkerCommand[] | null> | null {
-		const now = this.clock.now();
+		const { clock } = this.options;
+		const now = clock.now();
 		if (now < this.backoffUntil) return null;
 		this.lastRequestId += 1;
 		const requestId = this.lastRequestId;
-		if (this.batch.length === 0) this.clock.after(forwardingBatchMs, () => this.sendBatch());
+		if (this.batch.length === 0) clock.after(forwardingBatchMs, () => this.sendBatch());
 		this.batch.push({ requestId, heartbeat });
-		return new Promise((respond) => this.requests.set(requestId, { sentAt: now, respond }));
+		const { machineId } = heartbeat;
+		return new Promise((respond) => this.requests.set(requestId, { machineId, sentAt: now, respond }));
 	}
 
 	private sendBatch(): void {
 		const heartbeats = this.batch;
 		this.batch = [];
-		if (heartbeats.length > 0)
-			this.peers.send(this.leader, { kind: "forwarded-heartbeats", term: this.term, heartbeats });
+		if (heartbeats.length === 0) return;
+		this.options.peers.send(this.leader, { kind: "forwarded-heartbeats", term: this.term, heartbeats });
 	}
 
 	/** Completes requests with the leader's responses. Responses from any other controller or term are dropped. */
 	handleResponses(from: NodeId, term: Term, responses: readonly ForwardedResponse[]): void {
 		if (from !== this.leader || term !== this.term) return;
-		for (const { requestId, commands } of responses) {
-			this.requests.get(requestId)?.respond(commands);
-			this.requests.delete(requestId);
-		}
+		for (const response of responses) this.completeRequest(from, response);
+	}
+
+	private completeRequest(leader: NodeId, { requestId, commands }: ForwardedResponse): void {
+		const request = this.requests.get(requestId);
+		if (!request) return;
+		this.requests.delete(requestId);
+		this.logStarts(leader, requestId, request.machineId, commands);
+		request.respond(commands);
+	}
+
+	private logStarts(
+		leader: NodeId,
+		requestId: number,
+		machineId: MachineId,
+		commands: readonly WorkerCommand[] | null,
+	): void {
+		const taskIds = startedTaskIds(commands);
+		if (taskIds.length === 0) return;
+		this.options.log.debug({ peer: leader, requestId, machineId, taskIds }, "starts received for a worker");
 	}
 
 	/** Abandons all requests after a process pause: their workers have timed out, which is no sign of a broken link. */
@@ -96,7 +120,7 @@
 	/** Abandons requests that have timed out. Called ten times a second. */
 	tick(): void {
 		if (this.requests.size === 0) return;
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		if (this.abandonRequests(now - responseTimeoutMs)) this.backoffUntil = now + backoffAfterTimeoutMs;
 	}
 
--- a/src/coordination/workers/heartbeat-router.ts
+++ b/src/coordination/workers/heartbeat-router.ts
@@ -7,7 +7,7 @@
 	type NodeId,
 	type Term,
 } from "../../protocol/model/identifiers.js";
-import type { WorkerCommand, WorkerHeartbeat } from "../../protocol/model/worker.js";
+import { startedTaskIds, type WorkerCommand, type WorkerHeartbeat } from "../../protocol/model/worker.js";
 import type {
 	ForwardedHeartbeat,
 	ForwardedHeartbeats,
@@ -16,6 +16,7 @@
 	PlacementRequest,
 } from "../../protocol/peer/messages.js";
 import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
 import type { PeerMessenger } from "../ports/peers.js";
 import { ForwardedResponseBatches } from "./forwarded-response-batches.js";
 import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
@@ -47,6 +48,7 @@
 	node: NodeId;
 	peers: PeerMessenger;
 	clock: Clock;
+	log: Log;
 	/** Returns the leader in this process; null: it does not lead, or may not act. */
 	activeLeader(): ActiveLeader | null;
 	/** Returns the node in the leader key according to this process's store replica; null: the key is absent. */
@@ -89,7 +91,7 @@
 	private followedLeader: FollowedLeader = newFollowedLeader("", 0);
 
 	constructor(private readonly options: HeartbeatRouterOptions) {
-		this.forwarder = new HeartbeatForwarder(options.peers, options.clock);
+		this.forwarder = new HeartbeatForwarder(options);
 		this.responseBatches = new ForwardedResponseBatches(options.peers, options.clock);
 	}
 
@@ -156,6 +158,10 @@
 		{ requestId, heartbeat }: ForwardedHeartbeat,
 	): Promise<void> {
 		const commands = await this.handleAsLeader(active, heartbeat);
+		const taskIds = startedTaskIds(commands);
+		const { machineId } = heartbeat;
+		if (taskIds.length > 0)
+			this.options.log.debug({ peer: from, requestId, machineId, taskIds }, "starts sent to a forwarder");
 		this.responseBatches.add(from, active.term, { requestId, commands });
 	}
 
--- a/src/protocol/model/worker.ts
+++ b/src/protocol/model/worker.ts
@@ -1,6 +1,13 @@
 /** Messages between controllers and workers, the agents on machines, decoded from the names on the wire. */
 
-import type { AgentEpoch, FencingToken, JobId, MachineId } from "./identifiers.js";
+import {
+	type AgentEpoch,
+	type FencingToken,
+	type JobId,
+	type MachineId,
+	type TaskId,
+	taskIdOf,
+} from "./identifiers.js";
 
 /** `fetching`: waits for the image. `checkpointing`: saves a checkpoint after a stop command. `exited`: has ended. */
 export type TaskState = "fetching" | "running" | "checkpointing" | "exited";
@@ -66,3 +73,9 @@
 
 /** A command to a worker. Every command may be repeated, but a start after a forget starts the attempt again. */
 export type WorkerCommand = StartCommand | StopCommand | ForgetCommand;
+
+/** Returns the tasks that the commands start; null: there are no commands. */
+export function startedTaskIds(commands: readonly WorkerCommand[] | null): TaskId[] {
+	const starts = commands?.filter(({ kind }) => kind === "start") ?? [];
+	return starts.map(({ jobId, taskIndex }) => taskIdOf(jobId, taskIndex));
+}
--- a/tests/coordination/workers/heartbeat-forwarder.test.ts
+++ b/tests/coordination/workers/heartbeat-forwarder.test.ts
@@ -5,13 +5,14 @@
 import type { PeerMessage } from "../../../src/protocol/peer/messages.js";
 import { FakeTime } from "../../support/fake-time.js";
 import { forwardedHeartbeat } from "../../support/forwarded-heartbeat.js";
+import { silentLog } from "../../support/silent-log.js";
 
 /** Creates a forwarder that follows a leader, and records the messages that it sends. */
 function forwarderTo(leader: string, term: number) {
 	const time = new FakeTime();
 	const sent: { to: string; message: PeerMessage }[] = [];
 	const peers = { send: (to: string, message: PeerMessage) => sent.push({ to, message }) };
-	const forwarder = new HeartbeatForwarder(peers, time);
+	const forwarder = new HeartbeatForwarder({ peers, clock: time, log: silentLog });
 	forwarder.followLeader(leader, term);
 	/** Forwards a heartbeat. The commands are undefined until the response arrives. */
 	const forward = () => {
--- a/tests/coordination/workers/heartbeat-router.test.ts
+++ b/tests/coordination/workers/heartbeat-router.test.ts
@@ -9,6 +9,7 @@
 import type { LeaderHeartbeat, PeerMessage } from "../../../src/protocol/peer/messages.js";
 import { FakeTime } from "../../support/fake-time.js";
 import { heartbeat } from "../../support/reconciliation-setup.js";
+import { silentLog } from "../../support/silent-log.js";
 
 const stop: WorkerCommand = { kind: "stop", jobId: "j-1", taskIndex: 0, attempt: 1, graceS: 0 };
 const tryAnother: HeartbeatResponse = { kind: "redirect", node: null };
@@ -24,6 +25,7 @@
 		node: "runner-0",
 		peers: { send: (_to, message) => this.sent.push(message) },
 		clock: this.clock,
+		log: silentLog,
 		activeLeader: () => this.active,
 		leaderInStore: () => this.leaderInStore,
 		reportMisdirectedWorkers: (leader, term) => this.misdirectedReports.push([leader, term]),
