Heartbeat forwarding: a response reaches only the process that forwarded the heartbeat

A worker is then answered with the starts of another machine and executes them: in a zone that the job forbids (wrong_place), or a second time while the right worker runs the task too (ran_twice).

Cause: a forwarder numbered its requests from 1 in each process, and the leader, which holds the response to an idle machine for up to 1.5 s, sent it to the node. If the forwarder had been replaced meanwhile, the next process completed its own request of the same number with it. Leader, term and number were all that was compared. An empty response is no safer than one with starts: it renews the lease of a worker of which the leader does not know it.

Mended: `reports` names the forwarding process, the leader returns the name in `answers`, a batch holds responses to one process, and a process drops responses to another one. That makes it impossible between current versions, however fast the restart and however late the copy: the name is 48 random bits of the process. The field is optional. A leader up to 0.8.0 returns the request id alone, so ids begin at a number derived from the process. A forwarder up to 0.8.0 cannot be told from its predecessor, so a current leader asks it (`process` is missing in its `pong`) to redirect workers instead and refuses what it forwards. Matching the machine as well would not have sufficed: a response to an earlier heartbeat of the same machine makes a start look absent from a later one.

production-compatibility.test.ts allowed no field that 0.4.0 and 0.5.0 lack. It now names the three that were added, exactly, and asserts that a wrong type in one is rejected.

--- a/src/coordination/controller-composition.ts
+++ b/src/coordination/controller-composition.ts
@@ -102,6 +102,7 @@
 	});
 	const heartbeatRouter = new HeartbeatRouter({
 		node: platform.node,
+		incarnation,
 		peers,
 		clock,
 		log,
@@ -122,6 +123,7 @@
 			termSupervisor.leader?.runningCount(jobId) ?? runningTaskCounts.countOf(jobId),
 	});
 	const controller = new Controller({
+		incarnation,
 		executor,
 		replica,
 		replicaSync,
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -1,7 +1,7 @@
 /** One controller process: receives all external input and dispatches it to the components that decide on it. */
 
 import type { StoreReplica } from "../bookkeeping/store-replica.js";
-import type { NodeId, Term } from "../protocol/model/identifiers.js";
+import type { Incarnation, NodeId, Term } from "../protocol/model/identifiers.js";
 import type { WorkerHeartbeat } from "../protocol/model/worker.js";
 import type { LeaderHeartbeat, LeaderHeartbeatReply, PeerMessage } from "../protocol/peer/messages.js";
 import { keys } from "../protocol/records/keys.js";
@@ -24,6 +24,8 @@
 
 /** The components of a controller; `controller-composition.ts` builds them. */
 export interface ControllerComponents {
+	/** Identifies this process. */
+	incarnation: Incarnation;
 	executor: SerialExecutor;
 	replica: StoreReplica;
 	replicaSync: ReplicaSync;
@@ -189,14 +191,18 @@
 		this.replyToLeader(from, message.term);
 	}
 
-	/** Sends the leader the number of misdirected workers at this controller, and the features that it supports. */
+	/**
+	 * Sends the leader the number of misdirected workers at this controller, the features that it supports, and the name
+	 * of this process.
+	 */
 	replyToLeader(leader: NodeId, term: Term): void {
-		const { peers, heartbeatRouter, teamQuota } = this.components;
+		const { incarnation, peers, heartbeatRouter, teamQuota } = this.components;
 		const reply: LeaderHeartbeatReply = {
 			kind: "leader-heartbeat-reply",
 			term,
 			misdirectedWorkers: heartbeatRouter.countMisdirectedWorkers(),
 			supportsServiceJobs: true,
+			incarnation,
 			...(teamQuota && { teamQuota: teamQuota.reply() }),
 		};
 		peers.send(leader, reply);
--- a/src/coordination/leadership/failure-detector.ts
+++ b/src/coordination/leadership/failure-detector.ts
@@ -101,7 +101,9 @@
 	 */
 	heartbeatReplyReceived(from: NodeId, reply: LeaderHeartbeatReply, now: number): void {
 		this.featureSupport.replyReceived(from, reply);
-		this.replies.set(from, { receivedAt: now, misdirectedWorkers: reply.misdirectedWorkers });
+		const { misdirectedWorkers, incarnation } = reply;
+		const namesProcess = incarnation !== undefined;
+		this.replies.set(from, { receivedAt: now, misdirectedWorkers, namesProcess });
 		if (this.workerReachability.lastCheckFailed)
 			this.resignIfWorkersUnreachable(this.workerReachability.countWorkers(now), now);
 	}
@@ -138,17 +140,17 @@
 
 	private sendHeartbeats(counts: WorkerCounts, runningTasks: RunningTaskCount[]): void {
 		const { term, peers, storeReachable, teamQuotaMessageFor } = this.options;
-		const heartbeat: LeaderHeartbeat = {
+		const heartbeat: Omit<LeaderHeartbeat, "forwardHeartbeats"> = {
 			kind: "leader-heartbeat",
 			term,
 			runningTasks,
 			storeReachable: storeReachable(),
 			workersReachable: atLeastHalfReachable(counts),
-			forwardHeartbeats: this.forwardingPolicy.enabled,
 		};
 		for (const { node } of this.platform.others) {
+			const forwardHeartbeats = this.forwardingPolicy.requestedFrom(node);
 			const teamQuota = teamQuotaMessageFor(node);
-			peers.send(node, teamQuota === undefined ? heartbeat : { ...heartbeat, teamQuota });
+			peers.send(node, { ...heartbeat, forwardHeartbeats, ...(teamQuota !== undefined && { teamQuota }) });
 		}
 	}
 
--- a/src/coordination/leadership/forwarding-policy.ts
+++ b/src/coordination/leadership/forwarding-policy.ts
@@ -31,15 +31,18 @@
 	log: Log;
 }
 
-/** Owns whether heartbeats are forwarded in this term. */
+/** Owns whether heartbeats are forwarded in this term, and by which controllers. */
 export class ForwardingPolicy {
 	#enabled = false;
 
 	constructor(private readonly options: ForwardingPolicyOptions) {}
 
-	/** True if all controllers receive heartbeats and forward them to the leader. */
-	get enabled(): boolean {
-		return this.#enabled;
+	/**
+	 * True if the controller is to forward heartbeats. One that names no process (versions up to 0.8.0) redirects workers
+	 * to the leader, which refuses what it forwards; a controller that has not replied in this term counts as current.
+	 */
+	requestedFrom(node: NodeId): boolean {
+		return this.#enabled && this.options.replies.get(node)?.namesProcess !== false;
 	}
 
 	/**
@@ -73,8 +76,8 @@
 		const machine = clusterState.machines.get(machineId);
 		if (!machine || now - machine.agent.lastRedirectAt < redirectPauseMs) return null;
 		const forwarders: NodeId[] = [];
-		for (const [node, { receivedAt }] of replies)
-			if (now - receivedAt < forwarderTimeoutMs) forwarders.push(node);
+		for (const [node, { receivedAt, namesProcess }] of replies)
+			if (namesProcess && now - receivedAt < forwarderTimeoutMs) forwarders.push(node);
 		const forwarder = ownerOf(machineId, forwarders);
 		if (forwarder !== null) machine.agent.redirectSent(now);
 		return forwarder;
--- a/src/coordination/leadership/worker-reachability.ts
+++ b/src/coordination/leadership/worker-reachability.ts
@@ -39,6 +39,8 @@
 	receivedAt: number;
 	/** Number of workers that sent heartbeats to that controller although it does not lead. */
 	misdirectedWorkers: number;
+	/** True if that controller names its process in messages, so that a response reaches no other process of its node. */
+	namesProcess: boolean;
 }
 
 /** The numbers of running workers and, among them, of those with a recent heartbeat that responses reach. */
--- a/src/coordination/workers/heartbeat-forwarder.ts
+++ b/src/coordination/workers/heartbeat-forwarder.ts
@@ -1,11 +1,16 @@
 /** A follower's side of heartbeat forwarding: passes workers' heartbeats to the leader and returns its responses. */
 
-import type { MachineId, NodeId, Term } from "../../protocol/model/identifiers.js";
+import type { Incarnation, MachineId, NodeId, Term } from "../../protocol/model/identifiers.js";
 import { startedTaskIds, type WorkerCommand, type WorkerHeartbeat } from "../../protocol/model/worker.js";
-import type { ForwardedHeartbeat, ForwardedResponse } from "../../protocol/peer/messages.js";
+import type {
+	ForwardedHeartbeat,
+	ForwardedResponse,
+	ForwardedResponses,
+} from "../../protocol/peer/messages.js";
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerMessenger } from "../ports/peers.js";
+import { RequestIds } from "./request-ids.js";
 
 /** Forwarded heartbeats that arrive within this interval share one message; so do the responses to them. */
 export const forwardingBatchMs = 20;
@@ -27,6 +32,8 @@
 
 /** Dependencies of a forwarder. */
 export interface HeartbeatForwarderOptions {
+	/** Identifies this process, so that responses to an earlier process of this node are recognized. */
+	incarnation: Incarnation;
 	peers: PeerMessenger;
 	clock: Clock;
 	log: Log;
@@ -40,14 +47,16 @@
 export class HeartbeatForwarder {
 	private leader: NodeId = "";
 	private term: Term = 0;
-	private lastRequestId = 0;
+	private readonly requestIds: RequestIds;
 	/** Monotonic time until which nothing is forwarded. */
 	private backoffUntil = Number.NEGATIVE_INFINITY;
 	private batch: ForwardedHeartbeat[] = [];
 	/** Requests by id, the oldest first. */
 	private readonly requests = new Map<number, ForwardingRequest>();
 
-	constructor(private readonly options: HeartbeatForwarderOptions) {}
+	constructor(private readonly options: HeartbeatForwarderOptions) {
+		this.requestIds = new RequestIds(options.incarnation);
+	}
 
 	/** Switches to another leader. Requests to the previous one are abandoned; callers may forward them again. */
 	followLeader(leader: NodeId, term: Term): void {
@@ -67,8 +76,7 @@
 		const { clock } = this.options;
 		const now = clock.now();
 		if (now < this.backoffUntil) return null;
-		this.lastRequestId += 1;
-		const requestId = this.lastRequestId;
+		const requestId = this.requestIds.next();
 		if (this.batch.length === 0) clock.after(forwardingBatchMs, () => this.sendBatch());
 		this.batch.push({ requestId, heartbeat });
 		const { machineId } = heartbeat;
@@ -79,12 +87,22 @@
 		const heartbeats = this.batch;
 		this.batch = [];
 		if (heartbeats.length === 0) return;
-		this.options.peers.send(this.leader, { kind: "forwarded-heartbeats", term: this.term, heartbeats });
+		const { peers, incarnation } = this.options;
+		peers.send(this.leader, { kind: "forwarded-heartbeats", term: this.term, incarnation, heartbeats });
 	}
 
-	/** Completes requests with the leader's responses. Responses from any other controller or term are dropped. */
-	handleResponses(from: NodeId, term: Term, responses: readonly ForwardedResponse[]): void {
+	/**
+	 * Completes requests with the leader's responses. Responses from any other controller or term are dropped, and so are
+	 * those to an earlier process of this node, whose workers wait no more (tests/service/forwarder-restarts.test.ts).
+	 */
+	handleResponses(from: NodeId, { term, incarnation, responses }: ForwardedResponses): void {
 		if (from !== this.leader || term !== this.term) return;
+		// A leader of a version up to 0.8.0 names no process. Its responses to an earlier process have other ids.
+		if (incarnation !== undefined && incarnation !== this.options.incarnation) {
+			const count = responses.length;
+			this.options.log.debug({ peer: from, responses: count }, "responses to an earlier process dropped");
+			return;
+		}
 		for (const response of responses) this.completeRequest(from, response);
 	}
 
--- a/src/coordination/workers/heartbeat-router.ts
+++ b/src/coordination/workers/heartbeat-router.ts
@@ -3,6 +3,7 @@
 import {
 	type FencingToken,
 	fencingTokenOf,
+	type Incarnation,
 	type MachineId,
 	type NodeId,
 	type Term,
@@ -18,7 +19,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { Log } from "../ports/log.js";
 import type { PeerMessenger } from "../ports/peers.js";
-import { ForwardedResponseBatches } from "./forwarded-response-batches.js";
+import { ForwardedResponseBatches, type ResponseRecipient } from "./forwarded-response-batches.js";
 import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
 
 /** A controller's response to a worker's heartbeat. */
@@ -46,6 +47,8 @@
 export interface HeartbeatRouterOptions {
 	/** This node. */
 	node: NodeId;
+	/** Identifies this process. */
+	incarnation: Incarnation;
 	peers: PeerMessenger;
 	clock: Clock;
 	log: Log;
@@ -143,17 +146,23 @@
 		return responseOf(term, commands);
 	}
 
-	/** Handles heartbeats that another node has forwarded to this one as the leader. */
-	handleForwarded(from: NodeId, { term, heartbeats }: ForwardedHeartbeats): void {
+	/**
+	 * Handles heartbeats that another node has forwarded to this one as the leader. A version up to 0.8.0 names no
+	 * process, and its next process uses the same request ids: the response could reach another worker. It is therefore
+	 * refused, which any worker may be.
+	 */
+	handleForwarded(from: NodeId, { term, incarnation, heartbeats }: ForwardedHeartbeats): void {
 		const active = this.options.activeLeader();
+		const recipient: ResponseRecipient = { node: from, incarnation, term };
 		for (const forwarded of heartbeats) {
-			if (active?.term === term) void this.respondToForwarded(from, active, forwarded);
-			else this.responseBatches.add(from, term, { requestId: forwarded.requestId, commands: null });
+			if (active?.term === term && incarnation !== undefined)
+				void this.respondToForwarded(recipient, active, forwarded);
+			else this.responseBatches.add(recipient, { requestId: forwarded.requestId, commands: null });
 		}
 	}
 
 	private async respondToForwarded(
-		from: NodeId,
+		recipient: ResponseRecipient,
 		active: ActiveLeader,
 		{ requestId, heartbeat }: ForwardedHeartbeat,
 	): Promise<void> {
@@ -161,13 +170,16 @@
 		const taskIds = startedTaskIds(commands);
 		const { machineId } = heartbeat;
 		if (taskIds.length > 0)
-			this.options.log.debug({ peer: from, requestId, machineId, taskIds }, "starts sent to a forwarder");
-		this.responseBatches.add(from, active.term, { requestId, commands });
+			this.options.log.debug(
+				{ peer: recipient.node, requestId, machineId, taskIds },
+				"starts sent to a forwarder",
+			);
+		this.responseBatches.add(recipient, { requestId, commands });
 	}
 
 	/** Handles the leader's responses to heartbeats that this node has forwarded. */
-	handleForwardedResponses(from: NodeId, { term, responses }: ForwardedResponses): void {
-		this.forwarder.handleResponses(from, term, responses);
+	handleForwardedResponses(from: NodeId, message: ForwardedResponses): void {
+		this.forwarder.handleResponses(from, message);
 	}
 
 	// --- misdirected workers ---
--- a/src/protocol/peer/forwarding-wire.ts
+++ b/src/protocol/peer/forwarding-wire.ts
@@ -9,7 +9,7 @@
 import type { ExitCause, TaskState, TaskStatus, WorkerCommand, WorkerHeartbeat } from "../model/worker.js";
 import { nonNegativeInteger } from "../schema-checks.js";
 import type { ForwardedHeartbeats, ForwardedResponses } from "./messages.js";
-import { term } from "./wire-fields.js";
+import { decodeIncarnation, encodeIncarnation, incarnation, term } from "./wire-fields.js";
 
 type HeartbeatRow = [
 	machineId: string,
@@ -170,6 +170,7 @@
 export const ForwardedHeartbeatsSchema = v.object({
 	kind: v.literal("reports"),
 	epoch: term,
+	process: incarnation,
 	reports: v.array(v.tuple([nonNegativeInteger, v.custom<HeartbeatRow>(isHeartbeatRow, "must be a report")])),
 });
 
@@ -177,6 +178,7 @@
 export const ForwardedResponsesSchema = v.object({
 	kind: v.literal("answers"),
 	epoch: term,
+	process: incarnation,
 	answers: v.array(
 		v.tuple([
 			nonNegativeInteger,
@@ -192,6 +194,7 @@
 	return {
 		kind: "reports",
 		epoch: message.term,
+		...encodeIncarnation(message.incarnation),
 		reports: message.heartbeats.map(({ requestId, heartbeat }) => [requestId, encodeHeartbeat(heartbeat)]),
 	};
 }
@@ -203,6 +206,7 @@
 	return {
 		kind: "forwarded-heartbeats",
 		term: wire.epoch,
+		...decodeIncarnation(wire.process),
 		heartbeats: wire.reports.map(([requestId, row]) => ({ requestId, heartbeat: decodeHeartbeat(row) })),
 	};
 }
@@ -214,6 +218,7 @@
 	return {
 		kind: "answers",
 		epoch: message.term,
+		...encodeIncarnation(message.incarnation),
 		answers: message.responses.map(({ requestId, commands }) => [
 			requestId,
 			commands?.map(encodeCommand) ?? null,
@@ -228,6 +233,7 @@
 	return {
 		kind: "forwarded-responses",
 		term: wire.epoch,
+		...decodeIncarnation(wire.process),
 		responses: wire.answers.map(([requestId, commands]) => ({
 			requestId,
 			commands: commands?.map(decodeCommand) ?? null,
--- a/src/protocol/peer/leader-heartbeat-wire.ts
+++ b/src/protocol/peer/leader-heartbeat-wire.ts
@@ -3,7 +3,7 @@
 import * as v from "valibot";
 import { name, nonNegativeInteger } from "../schema-checks.js";
 import type { LeaderHeartbeat, LeaderHeartbeatReply } from "./messages.js";
-import { teamQuota, term } from "./wire-fields.js";
+import { decodeIncarnation, encodeIncarnation, incarnation, teamQuota, term } from "./wire-fields.js";
 
 /** A leader heartbeat on the wire. */
 export const LeaderHeartbeatSchema = v.object({
@@ -22,6 +22,7 @@
 	epoch: term,
 	strays: nonNegativeInteger,
 	standing: v.optional(v.boolean()),
+	process: incarnation,
 	quota: teamQuota,
 });
 
@@ -63,6 +64,7 @@
 		epoch: term,
 		strays: misdirectedWorkers,
 		...(supportsServiceJobs !== undefined && { standing: supportsServiceJobs }),
+		...encodeIncarnation(message.incarnation),
 		...(teamQuota !== undefined && { quota: teamQuota }),
 	};
 }
@@ -77,6 +79,7 @@
 		term: epoch,
 		misdirectedWorkers: strays,
 		...(standing !== undefined && { supportsServiceJobs: standing }),
+		...decodeIncarnation(wire.process),
 		...(quota !== undefined && { teamQuota: quota }),
 	};
 }
--- a/src/protocol/peer/messages.ts
+++ b/src/protocol/peer/messages.ts
@@ -102,6 +102,8 @@
 	misdirectedWorkers: number;
 	/** This controller supports service jobs; versions before 0.5.0 omit the field. */
 	supportsServiceJobs?: boolean | undefined;
+	/** The replying process; versions up to 0.8.0 omit the field. */
+	incarnation?: Incarnation | undefined;
 	/** The reply of team quota; omitted by versions before 0.8.0, and if team quota is disabled. */
 	teamQuota?: unknown;
 }
@@ -116,6 +118,8 @@
 export interface ForwardedHeartbeats {
 	kind: "forwarded-heartbeats";
 	term: Term;
+	/** The forwarding process; versions up to 0.8.0 omit the field. */
+	incarnation?: Incarnation | undefined;
 	heartbeats: ForwardedHeartbeat[];
 }
 
@@ -129,6 +133,11 @@
 export interface ForwardedResponses {
 	kind: "forwarded-responses";
 	term: Term;
+	/**
+	 * The process that forwarded the heartbeats. The next process of its node, which receives the message if that one
+	 * has ended, must not use the responses. Versions up to 0.8.0 omit the field.
+	 */
+	incarnation?: Incarnation | undefined;
 	responses: ForwardedResponse[];
 }
 
--- a/tests/coordination/workers/heartbeat-router.test.ts
+++ b/tests/coordination/workers/heartbeat-router.test.ts
@@ -23,6 +23,7 @@
 	leaderInStore: string | null = null;
 	readonly router = new HeartbeatRouter({
 		node: "runner-0",
+		incarnation: "router",
 		peers: { send: (_to, message) => this.sent.push(message) },
 		clock: this.clock,
 		log: silentLog,
@@ -144,6 +145,7 @@
 		setup.router.handleForwardedResponses("runner-1", {
 			kind: "forwarded-responses",
 			term: 7,
+			incarnation: "router",
 			responses: [
 				{ requestId: firstId, commands: [stop] },
 				{ requestId: secondId, commands: null },
@@ -165,6 +167,7 @@
 		setup.router.handleForwardedResponses("runner-2", {
 			kind: "forwarded-responses",
 			term: 9,
+			incarnation: "router",
 			responses: [{ requestId: secondRequestId, commands: [] }],
 		});
 		assert.deepEqual(await response, { kind: "commands", fencingToken: 9, commands: [] });
@@ -206,11 +209,14 @@
 		setup.router.handleForwarded("runner-1", {
 			kind: "forwarded-heartbeats",
 			term: 7,
+			incarnation: "forwarder",
 			heartbeats: forwarded,
 		});
 		await setup.clock.advance(100);
 		const responses = [1, 2].map((requestId) => ({ requestId, commands: [stop] }));
-		assert.deepEqual(setup.sent, [{ kind: "forwarded-responses", term: 7, responses }]);
+		assert.deepEqual(setup.sent, [
+			{ kind: "forwarded-responses", term: 7, incarnation: "forwarder", responses },
+		]);
 	});
 
 	test("are refused if they are for a term that this process does not lead", async () => {
@@ -220,10 +226,38 @@
 		setup.router.handleForwarded("runner-1", {
 			kind: "forwarded-heartbeats",
 			term: 6,
+			incarnation: "forwarder",
 			heartbeats: forwarded,
 		});
 		await setup.clock.advance(100);
 		const responses = [{ requestId: 1, commands: null }];
-		assert.deepEqual(setup.sent, [{ kind: "forwarded-responses", term: 6, responses }]);
+		assert.deepEqual(setup.sent, [
+			{ kind: "forwarded-responses", term: 6, incarnation: "forwarder", responses },
+		]);
+	});
+
+	// Its next process uses the same request ids, so the response could reach another worker (review/1).
+	test("are refused, and change nothing, if the forwarding process is not named", async () => {
+		const setup = new Setup();
+		let handled = 0;
+		const leader = {
+			handleHeartbeat: async () => {
+				handled += 1;
+				return [stop];
+			},
+			forwarderFor: () => null,
+		};
+		setup.active = { term: 7, leader };
+		setup.router.handleForwarded("runner-1", {
+			kind: "forwarded-heartbeats",
+			term: 7,
+			heartbeats: [{ requestId: 1, heartbeat: heartbeat(1) }],
+		});
+		await setup.clock.advance(100);
+		const responses = [{ requestId: 1, commands: null }];
+		assert.deepEqual(setup.sent, [
+			{ kind: "forwarded-responses", term: 7, incarnation: undefined, responses },
+		]);
+		assert.equal(handled, 0);
 	});
 });
--- a/tests/protocol/peer/wire-examples.test.ts
+++ b/tests/protocol/peer/wire-examples.test.ts
@@ -167,6 +167,25 @@
 	"leader-heartbeat-reply": [
 		{
 			description: "every field",
+			wire: {
+				kind: "pong",
+				epoch: 21,
+				strays: 2,
+				standing: true,
+				process: "3f9a0c",
+				quota: { charges: [] },
+			},
+			message: {
+				kind: "leader-heartbeat-reply",
+				term: 21,
+				misdirectedWorkers: 2,
+				supportsServiceJobs: true,
+				incarnation: "3f9a0c",
+				teamQuota: { charges: [] },
+			},
+		},
+		{
+			description: "a version up to 0.8.0, which does not name its process",
 			wire: { kind: "pong", epoch: 21, strays: 2, standing: true, quota: { charges: [] } },
 			message: {
 				kind: "leader-heartbeat-reply",
@@ -188,6 +207,7 @@
 			wire: {
 				kind: "reports",
 				epoch: 21,
+				process: "3f9a0c",
 				reports: [
 					[
 						5,
@@ -220,6 +240,7 @@
 			message: {
 				kind: "forwarded-heartbeats",
 				term: 21,
+				incarnation: "3f9a0c",
 				heartbeats: [
 					{
 						requestId: 5,
@@ -264,6 +285,11 @@
 				],
 			},
 		},
+		{
+			description: "a version up to 0.8.0, which does not name its process",
+			wire: { kind: "reports", epoch: 21, reports: [] },
+			message: { kind: "forwarded-heartbeats", term: 21, heartbeats: [] },
+		},
 	],
 	"forwarded-responses": [
 		{
@@ -271,6 +297,7 @@
 			wire: {
 				kind: "answers",
 				epoch: 21,
+				process: "3f9a0c",
 				answers: [
 					[
 						5,
@@ -287,6 +314,7 @@
 			message: {
 				kind: "forwarded-responses",
 				term: 21,
+				incarnation: "3f9a0c",
 				responses: [
 					{
 						requestId: 5,
@@ -301,6 +329,11 @@
 				],
 			},
 		},
+		{
+			description: "a version up to 0.8.0, which does not name the forwarding process",
+			wire: { kind: "answers", epoch: 21, answers: [[5, []]] },
+			message: { kind: "forwarded-responses", term: 21, responses: [{ requestId: 5, commands: [] }] },
+		},
 	],
 	"lease-extension-request": [
 		{
--- a/tests/service/production-compatibility.test.ts
+++ b/tests/service/production-compatibility.test.ts
@@ -121,10 +121,17 @@
 	});
 }
 
-test("stored values and messages have only field names that a version in production has", async () => {
+/**
+ * Fields of messages that were added after these versions, which ignore them. A message without them is decoded: see the
+ * fixtures' messages above.
+ */
+const addedFields = ["answers.process", "pong.process", "reports.process"];
+
+test("stored values and messages have only field names that a version in production has, and the added ones", async () => {
 	const productionPaths = new Set(versions.flatMap((version) => fieldPathsOf(fixtureOf(version))));
 	const currentPaths = [await recordRun(false), await recordRun(true)].flatMap(fieldPathsOf);
-	assert.deepEqual([...new Set(currentPaths)].filter((name) => !productionPaths.has(name)).sort(), []);
+	const otherPaths = [...new Set(currentPaths)].filter((name) => !productionPaths.has(name));
+	assert.deepEqual(otherPaths.sort(), addedFields);
 });
 
 /** Returns the paths of all fields by kind of value or message, with `*` for the names of machines, jobs and pages. */
@@ -159,6 +166,11 @@
 			assertRejected({ ...message, [field]: { wrong: true } });
 		}
 	}
+	for (const path of addedFields) {
+		const [kind, field] = path.split(".") as [string, string];
+		const wrongType = { ...messages[kind], [field]: { wrong: true } };
+		assert.throws(() => decodePeerMessage(wrongType), MalformedMessageError, path);
+	}
 	for (const raw of [null, 1, "running", [], {}, { kind: "toString" }, { kind: "gossip", epoch: 1 }])
 		assert.throws(() => decodePeerMessage(raw), MalformedMessageError);
 });
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -18,6 +18,7 @@
 import { FakeTime } from "./fake-time.js";
 import { FakeNetwork } from "./network.js";
 import { StateService } from "./state-service.js";
+import { type PeerMessageOnWire, UnnamedProcess } from "./unnamed-process.js";
 import { FakeWorker, type WorkerEnvironment } from "./worker.js";
 
 export interface JobBody {
@@ -61,6 +62,24 @@
 	controller: Controller;
 	app: ReturnType<typeof publicApi>;
 	executor: PausableExecutor;
+	workerConnections: WorkerConnections;
+	/** Set if the process exchanges messages as a version up to 0.8.0 does. */
+	unnamed: UnnamedProcess | null;
+}
+
+/** The workers' connections to one process on which a heartbeat awaits its response. */
+class WorkerConnections {
+	private readonly resets = new Set<() => void>();
+
+	/** Adds a connection that `reset` resets, and returns the function that removes it. */
+	add(reset: () => void): () => void {
+		this.resets.add(reset);
+		return () => this.resets.delete(reset);
+	}
+
+	resetAll(): void {
+		for (const reset of this.resets) reset();
+	}
 }
 
 /**
@@ -116,12 +135,22 @@
 export const nodeNames = ["runner-0", "runner-1", "runner-2"];
 
 /** With this small a fraction of a core, any heartbeat rate makes all controllers receive and forward heartbeats. */
-const tinyCpuSettings = "[cluster.resources]\ncores = 0.0005\n";
+const tinyCores = 0.0005;
+
+const defaultHeartbeatIntervalS = 1;
 
 /** Future limits of the state service. */
 const nextLimitSettings = "[cluster.state.next]\nvalue_kb = 0.6\ntxn_ops = 4\n";
 
-interface PlatformOptions {
+/** Settings of the platform that a test may choose. */
+interface PlatformOverrides {
+	/** Seconds between a worker's heartbeats. */
+	heartbeatIntervalS?: number;
+	/** Each controller's share of a core, which decides from how many machines on heartbeats are forwarded. */
+	coresPerController?: number;
+}
+
+interface PlatformOptions extends PlatformOverrides {
 	node: string;
 	nodes: string[];
 	forwarding: boolean;
@@ -132,6 +161,7 @@
 /** Returns the platform settings file of a node. */
 export function platformSettingsText(options: PlatformOptions): string {
 	const { node, nodes, forwarding, nextLimitsAnnounced, state = "127.0.0.1:4" } = options;
+	const { heartbeatIntervalS = defaultHeartbeatIntervalS, coresPerController = tinyCores } = options;
 	const others = nodes
 		.filter((n) => n !== node)
 		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
@@ -152,7 +182,7 @@
 zones = ["a", "b"]
 ${teamText.join("\n")}
 [cluster.workers]
-report_s = 1.0
+report_s = ${heartbeatIntervalS.toFixed(1)}
 lease_s = 10.0
 cancel_s = 37.0
 [cluster.state]
@@ -163,7 +193,7 @@
 [cluster.cloud]
 rps = 5.0
 list_lag_s = 1.0
-${forwarding ? tinyCpuSettings : ""}${nextLimitsAnnounced ? nextLimitSettings : ""}`;
+${forwarding ? `[cluster.resources]\ncores = ${coresPerController}\n` : ""}${nextLimitsAnnounced ? nextLimitSettings : ""}`;
 }
 
 /**
@@ -191,6 +221,9 @@
 	/** Delays after which a copy of every heartbeat arrives at the node to which it was sent. */
 	duplicateHeartbeatsAfterS: number[] = [];
 
+	/** True if workers' connections to a process that ends are reset; false: they hang until the worker times out. */
+	connectionsResetOnCrash = false;
+
 	/** Time since which a job waits although one of its tasks could start and no fault is active. */
 	private readonly waitingSince = new Map<string, number>();
 	/** True while the trace player injects link faults; no stand-in records these. */
@@ -206,7 +239,10 @@
 		private readonly forwarding = false,
 		/** True if processes that start from now on run with team quota. */
 		public teamQuota = false,
+		private readonly platformOverrides: PlatformOverrides = {},
 	) {
+		this.workerEnvironment.heartbeatIntervalS =
+			platformOverrides.heartbeatIntervalS ?? defaultHeartbeatIntervalS;
 		const type = (sku: string, cores: number, rate: number) => ({
 			sku,
 			cores,
@@ -257,10 +293,10 @@
 		if (this.processes.has(node)) return;
 		this.incarnation += 1;
 		const id = `${node}#${this.incarnation}`;
-		const { nodes, forwarding, nextLimitsAnnounced } = this;
+		const { nodes, forwarding, nextLimitsAnnounced, platformOverrides } = this;
 		const settings = parsePlatformSettings(
 			"test settings",
-			platformSettingsText({ node, nodes, forwarding, nextLimitsAnnounced }),
+			platformSettingsText({ node, nodes, forwarding, nextLimitsAnnounced, ...platformOverrides }),
 		);
 		const logAt =
 			(level: string) =>
@@ -328,17 +364,34 @@
 			},
 			log,
 		);
-		this.processes.set(node, { id, controller, app, executor });
+		const workerConnections = new WorkerConnections();
+		this.processes.set(node, { id, controller, app, executor, workerConnections, unnamed: null });
 		controller.start();
 	}
 
-	/** Ends the process without a signal; none of its pending messages is delivered. */
+	/**
+	 * Ends the process without a signal; none of its pending messages is delivered. Workers that wait for its response
+	 * time out, or with `connectionsResetOnCrash` see their connection reset.
+	 */
 	crash(node: string): void {
 		const process = this.processes.get(node);
 		if (!process) return;
 		this.network.setDown(process.id, true);
 		process.controller.stop();
 		this.processes.delete(node);
+		if (this.connectionsResetOnCrash) process.workerConnections.resetAll();
+	}
+
+	/** Makes the current process of the node exchange messages as a version up to 0.8.0 does. */
+	useUnnamedProcess(node: string): void {
+		const process = this.processes.get(node);
+		if (process) process.unnamed = new UnnamedProcess();
+	}
+
+	/** Ends the process and starts the next one of the node at once. */
+	restart(node: string): void {
+		this.crash(node);
+		this.start(node);
 	}
 
 	/** Pauses the process, while its clocks run on. */
@@ -361,13 +414,16 @@
 	}
 
 	private sendPeerMessage(fromId: string, from: string, to: string, message: unknown): void {
-		const bytes = encodeFrame(message);
+		const sender = this.processes.get(from)?.unnamed;
+		const bytes = encodeFrame(sender ? sender.outgoing(message as PeerMessageOnWire) : message);
 		this.time.after(2, () => {
 			if (this.network.isDown(fromId) || this.peerIsolatedNodes.has(from) || this.peerIsolatedNodes.has(to))
 				return;
 			const process = this.processes.get(to);
-			for (const m of new FrameReader().push(bytes))
-				process?.executor.runOrQueue(() => process.controller.receivePeerMessage(from, m));
+			for (const m of new FrameReader().push(bytes)) {
+				const received = process?.unnamed ? process.unnamed.incoming(m as PeerMessageOnWire) : m;
+				process?.executor.runOrQueue(() => process.controller.receivePeerMessage(from, received));
+			}
 		});
 	}
 
@@ -400,12 +456,16 @@
 				this.time.after(2, () => resolve({ status: 0, body: {} }));
 				return;
 			}
+			const closeConnection = process.workerConnections.add(() =>
+				this.time.after(2, () => resolve({ status: 0, body: {} })),
+			);
 			const fault = this.network.faultFor(worker.host, node, "POST", "/v1/report");
 			if (fault.dropRequest) return;
 			this.time.after(2 + (fault.delayMs ?? 0), () => {
 				const current = this.processes.get(node);
 				current?.executor.runOrQueue(async () => {
 					const result = await current.controller.handleHeartbeat(parseHeartbeat(sentBody));
+					closeConnection();
 					if (fault.dropResponse || this.network.isDown(current.id)) return;
 					const response: HttpResponse =
 						result.kind === "commands"
