--- a/tests/service/cancellation-races.test.ts
+++ b/tests/service/cancellation-races.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { job } from "../support/leadership-candidate.js";
-import { nodeNames, World } from "../support/world.js";
+import { World } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 const finalRecord = (world: World) =>
 	world.state.rows.get("r/fin/j-000001")?.v as { status: string } | undefined;
--- a/tests/service/forwarder-versions.test.ts
+++ b/tests/service/forwarder-versions.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
 import { type PlayedRestart, playForwarderRestart, type RestartRole } from "../support/forwarder-restarts.js";
-import { nodeNames } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 /** Restarts at different times relative to the workers' heartbeats. */
 const delaysMs = [0, 100, 200, 300, 400];
--- a/tests/service/production-compatibility.test.ts
+++ b/tests/service/production-compatibility.test.ts
@@ -4,7 +4,8 @@
 import { MalformedMessageError } from "../../src/protocol/errors.js";
 import { decodePeerMessage, encodePeerMessage } from "../../src/protocol/peer/codec.js";
 import { type RecordedRun, recordRun } from "../support/recorded-run.js";
-import { nodeNames, World } from "../support/world.js";
+import { World } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 /**
  * Versions in production whose stored values and messages are recorded in a fixture, each taken from a run of that
--- a/tests/service/store-outages.test.ts
+++ b/tests/service/store-outages.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { job } from "../support/leadership-candidate.js";
-import { nodeNames, World } from "../support/world.js";
+import { World } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 test("a node cut off from the store answers 503 at once and is not ready, but all nodes are ready if the store answers none", async () => {
 	const world = new World();
--- a/tests/service/submissions.test.ts
+++ b/tests/service/submissions.test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { job } from "../support/leadership-candidate.js";
-import { nodeNames, World } from "../support/world.js";
+import { World } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 test("a service job is accepted only once every controller has reported support for it, and always from then on", async () => {
 	const world = new World();
--- a/tests/support/forwarder-restarts.ts
+++ b/tests/support/forwarder-restarts.ts
@@ -1,6 +1,7 @@
 /** Plays restarts of a controller that forwards heartbeats, while the leader holds its responses to them. */
 
-import { nodeNames, World } from "./world.js";
+import { World } from "./world.js";
+import { nodeNames } from "./world-settings.js";
 
 /** Clusters of three and of five controllers. */
 export const clusters = [nodeNames, [...nodeNames, "runner-3", "runner-4"]];
--- a/tests/support/quota-world.ts
+++ b/tests/support/quota-world.ts
@@ -1,4 +1,5 @@
-import { nodeNames, World } from "./world.js";
+import { World } from "./world.js";
+import { nodeNames } from "./world-settings.js";
 
 export async function worldWithJob(tasks: number, capacity = 6): Promise<World> {
 	const world = new World(capacity, nodeNames, false, true);
--- a/tests/support/recorded-run.ts
+++ b/tests/support/recorded-run.ts
@@ -1,4 +1,5 @@
-import { nodeNames, World } from "./world.js";
+import { World } from "./world.js";
+import { nodeNames } from "./world-settings.js";
 
 /** The stored values and peer messages of one run on the stand-ins, recorded as a fixture or compared with one. */
 export interface RecordedRun {
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,25 +1,31 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Controller } from "../../src/coordination/controller.js";
 import { type ControllerPorts, createController } from "../../src/coordination/controller-composition.js";
-import type { Clock } from "../../src/coordination/ports/clock.js";
 import type { Log } from "../../src/coordination/ports/log.js";
 import { heartbeatResponseBody, parseHeartbeat, redirectBody } from "../../src/protocol/http/worker-api.js";
 import { defaultOperatorSettings } from "../../src/protocol/settings/operator.js";
 import { parsePlatformSettings } from "../../src/protocol/settings/platform.js";
 import { createTeamQuota } from "../../src/team-quota.js";
 import { CloudClient } from "../../src/transport/clients/cloud-client.js";
-import type { HttpCaller } from "../../src/transport/clients/http-client.js";
 import type { HttpResponse } from "../../src/transport/clients/http-response.js";
 import { StoreClient } from "../../src/transport/clients/store-client.js";
 import { WorkerClient } from "../../src/transport/clients/worker-client.js";
 import { encodeFrame, FrameReader } from "../../src/transport/peers/frame.js";
 import { publicApi } from "../../src/transport/public/public-api.js";
 import { FakeCloud } from "./cloud.js";
+import { type ControllerProcess, PausableExecutor, WorkerConnections } from "./controller-process.js";
 import { FakeTime } from "./fake-time.js";
 import { FakeNetwork } from "./network.js";
 import { StateService } from "./state-service.js";
 import { type PeerMessageOnWire, UnnamedProcess } from "./unnamed-process.js";
 import { FakeWorker, type WorkerEnvironment } from "./worker.js";
+import {
+	defaultHeartbeatIntervalS,
+	nodeNames,
+	type PlatformOverrides,
+	platformSettingsText,
+	teamCpuLimits,
+} from "./world-settings.js";
 
 export interface JobBody {
 	id: string;
@@ -57,145 +63,6 @@
 	reportedStatuses: Set<string>;
 }
 
-interface ControllerProcess {
-	id: string;
-	controller: Controller;
-	app: ReturnType<typeof publicApi>;
-	executor: PausableExecutor;
-	workerConnections: WorkerConnections;
-	/** Set if the process exchanges messages as a version up to 0.8.0 does. */
-	unnamed: UnnamedProcess | null;
-}
-
-/** The workers' connections to one process on which a heartbeat awaits its response. */
-class WorkerConnections {
-	private readonly resets = new Set<() => void>();
-
-	/** Adds a connection that `reset` resets, and returns the function that removes it. */
-	add(reset: () => void): () => void {
-		this.resets.add(reset);
-		return () => this.resets.delete(reset);
-	}
-
-	resetAll(): void {
-		for (const reset of this.resets) reset();
-	}
-}
-
-/**
- * Runs the callbacks of a controller process and simulates a process pause: while paused, due timers and incoming
- * messages are queued, though clocks run on; they are processed in order on `resume`.
- */
-class PausableExecutor {
-	private queued: (() => void)[] | null = null;
-
-	runOrQueue(action: () => void): void {
-		if (this.queued) this.queued.push(action);
-		else action();
-	}
-
-	pause(): void {
-		this.queued ??= [];
-	}
-
-	resume(): void {
-		const queued = this.queued ?? [];
-		this.queued = null;
-		for (const action of queued) action();
-	}
-
-	settleWhenRunning<T>(result: Promise<T>): Promise<T> {
-		return new Promise((resolve, reject) =>
-			result.then(
-				(value) => this.runOrQueue(() => resolve(value)),
-				(error) => this.runOrQueue(() => reject(error)),
-			),
-		);
-	}
-
-	clock(time: Clock): Clock {
-		return {
-			now: () => time.now(),
-			date: () => time.date(),
-			after: (ms, run) => time.after(ms, () => this.runOrQueue(run)),
-		};
-	}
-
-	caller(http: HttpCaller): HttpCaller {
-		return {
-			call: (method, path, body, deadlineMs) =>
-				this.settleWhenRunning(http.call(method, path, body, deadlineMs)),
-			close: () => http.close(),
-		};
-	}
-}
-
-/** CPU limit of each team; team guest has neither guarantee nor limit. */
-const teamCpuLimits: Record<string, number> = { red: 8, blue: 8, guest: Number.POSITIVE_INFINITY };
-export const nodeNames = ["runner-0", "runner-1", "runner-2"];
-
-/** With this small a fraction of a core, any heartbeat rate makes all controllers receive and forward heartbeats. */
-const tinyCores = 0.0005;
-
-const defaultHeartbeatIntervalS = 1;
-
-/** Future limits of the state service. */
-const nextLimitSettings = "[cluster.state.next]\nvalue_kb = 0.6\ntxn_ops = 4\n";
-
-/** Settings of the platform that a test may choose. */
-interface PlatformOverrides {
-	/** Seconds between a worker's heartbeats. */
-	heartbeatIntervalS?: number;
-	/** Each controller's share of a core, which decides from how many machines on heartbeats are forwarded. */
-	coresPerController?: number;
-}
-
-interface PlatformOptions extends PlatformOverrides {
-	node: string;
-	nodes: string[];
-	forwarding: boolean;
-	nextLimitsAnnounced: boolean;
-	state?: string;
-}
-
-/** Returns the platform settings file of a node. */
-export function platformSettingsText(options: PlatformOptions): string {
-	const { node, nodes, forwarding, nextLimitsAnnounced, state = "127.0.0.1:4" } = options;
-	const { heartbeatIntervalS = defaultHeartbeatIntervalS, coresPerController = tinyCores } = options;
-	const others = nodes
-		.filter((n) => n !== node)
-		.map((n) => `[[others]]\nnode = "${n}"\ndomain = "z"\naddr = "127.0.0.1:1"\n`);
-	const teamText = Object.entries(teamCpuLimits).map(([name, maxCpus]) => {
-		const cpus = Number.isFinite(maxCpus) ? maxCpus : 0;
-		return `[[cluster.teams]]\nname = "${name}"\ncpus = ${cpus / 2}\ncpus_max = ${cpus}\n`;
-	});
-	return `node = "${node}"
-domain = "z"
-front = "127.0.0.1:1"
-back = "127.0.0.1:2"
-${others.join("\n")}
-[endpoints]
-cloud = "127.0.0.1:3"
-state = "${state}"
-[cluster]
-nodes = ${nodes.length}
-zones = ["a", "b"]
-${teamText.join("\n")}
-[cluster.workers]
-report_s = ${heartbeatIntervalS.toFixed(1)}
-lease_s = 10.0
-cancel_s = 37.0
-[cluster.state]
-rps = 300.0
-write_rps = 60.0
-value_kb = 16.0
-txn_ops = 12
-[cluster.cloud]
-rps = 5.0
-list_lag_s = 1.0
-${forwarding ? `[cluster.resources]\ncores = ${coresPerController}\n` : ""}${nextLimitsAnnounced ? nextLimitSettings : ""}`;
-}
-
 /**
  * Controllers, three by default, in fake time between stand-ins for workers, state service, cloud, network and users.
  * Violations of the invariants are recorded: duplicate starts, wrong placement, exceeded limits, lost jobs.
--- a/tests/team-quota/quota-command.test.ts
+++ b/tests/team-quota/quota-command.test.ts
@@ -10,7 +10,7 @@
 import { fileURLToPath } from "node:url";
 import type { ShownTeam } from "#team-quota";
 import { worldWithJob } from "../support/quota-world.js";
-import { nodeNames, platformSettingsText } from "../support/world.js";
+import { nodeNames, platformSettingsText } from "../support/world-settings.js";
 
 test("ramphub quota shows and sets limits, gives the reason for a refusal, and exits with 0, 1 or 2", async () => {
 	const world = await worldWithJob(2);
--- a/tests/team-quota/shared-limits.test.ts
+++ b/tests/team-quota/shared-limits.test.ts
@@ -5,7 +5,8 @@
 import { quotaStore } from "../../src/team-quota.js";
 import { StoreClient } from "../../src/transport/clients/store-client.js";
 import { worldWithJob } from "../support/quota-world.js";
-import { nodeNames, World } from "../support/world.js";
+import { World } from "../support/world.js";
+import { nodeNames } from "../support/world-settings.js";
 
 /** The state service as an operator's command uses it. */
 function operatorStore(world: World): QuotaStore {
