Team quota: a number that a holder confirms belongs to one leader's messages

What callers could see: during an upgrade from 0.8.0 a new leader takes a holder of 0.8.0 for informed of an allotment or a recall that it has not received. No rule breaks by it alone, since each start is also checked against the stored allotment and by the leader's own count.

Cause: such a holder answers a new leader's first heartbeat with the number that it confirmed in the term before. A late message of the earlier leader raises that number, and the new leader has given the same one to a message of its own, as it began above the number that was stated first.

Why this works: the numbers of a leader's messages begin at one derived from its process and term, so two leaders use none in common, whatever is late. Holders accept any number above the last one, in every version.

--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import { maxClockDriftFraction } from "./holder.js";
 import type { AllotmentUpdate, HolderReply, TeamAllotmentUpdate } from "./holder-messages.js";
 
@@ -10,10 +11,7 @@
 	echoedReplyNumber: number;
 	echoedReplyReceivedAt: number;
 	lastMessageNumber: number;
-	/**
-	 * This leader numbers its messages to this process above this: above all that it sent before, and above what the
-	 * process had confirmed before the first of them.
-	 */
+	/** This leader numbers its messages to this process above this, and so above all that it sent before. */
 	readonly numberedAbove: number;
 	confirmedMessageNumber: number;
 	settledBatch: number;
@@ -26,6 +24,8 @@
 }
 
 export interface HolderRegistryOptions {
+	/** The leader's process. */
+	incarnation: string;
 	/** The term of leadership. */
 	term: number;
 	/** Monotonic time at which the term began, in milliseconds. */
@@ -44,6 +44,17 @@
 
 const maxEndedIncarnations = 50;
 
+/** Size of the number below the first message number of a term. Numbers stay exact for 2^52 messages. */
+const firstNumberBytes = 6;
+
+/**
+ * Returns the number below those of the term's messages. It depends on the process and the term, so that a number that
+ * a process confirms without its term, as in 0.8.0, is none of another leader's message.
+ */
+function numberBelowTerm({ incarnation, term }: HolderRegistryOptions): number {
+	return createHash("sha256").update(`${incarnation}/${term}`).digest().readUIntBE(0, firstNumberBytes);
+}
+
 /**
  * The processes that hold allotments. For each node, the registry records which process is the current one,
  * which messages that process has confirmed, and until when it may admit tasks.
@@ -59,9 +70,11 @@
 	private readonly candidates = new Map<string, HolderProcess>();
 	private readonly endedIncarnations = new Set<string>();
 	/** Highest number of any message of this term, so that no number is used for two messages to one process. */
-	private highestMessageNumber = 0;
+	private highestMessageNumber: number;
 
-	constructor(private readonly options: HolderRegistryOptions) {}
+	constructor(private readonly options: HolderRegistryOptions) {
+		this.highestMessageNumber = numberBelowTerm(options);
+	}
 
 	/** Records that a process has ended, so that its delayed replies are ignored. */
 	markEnded(incarnation: string): void {
@@ -93,10 +106,10 @@
 		this.currentProcesses.set(node, candidate);
 	}
 
-	private candidateOf(node: string, { incarnation, confirmed }: HolderReply, now: number): HolderProcess {
+	private candidateOf(node: string, { incarnation }: HolderReply, now: number): HolderProcess {
 		const existing = this.candidates.get(node);
 		if (existing?.incarnation === incarnation) return existing;
-		const numberedAbove = Math.max(this.highestMessageNumber, confirmed);
+		const numberedAbove = this.highestMessageNumber;
 		const created: HolderProcess = {
 			incarnation,
 			lastReplyAt: now,
--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -331,6 +331,33 @@
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
 });
 
+// Guards against a late message of the leader before, which a holder applies after it has answered the new leader with a
+// message without an update: its next reply names a number of the earlier term that the new leader has used as well.
+test("a reply without a term does not confirm a message by the number of a late one of an earlier leader", async () => {
+	const cluster = new TestCluster();
+	const holder = cluster.startProcess("b");
+	const { manager } = await cluster.allotAllTo(holder);
+	const lateUpdates = Array.from({ length: 50 }, () => manager.nextUpdate("b") as AllotmentUpdate);
+	manager.end();
+	const next = cluster.startProcess("a");
+	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
+	nextManager.start();
+	const replyOfEarlierVersion = () => {
+		const { term: _term, ...reply } = holder.reply();
+		return reply;
+	};
+	next.handleReply("b", replyOfEarlierVersion());
+	for (let i = 0; i < 50; i++) nextManager.nextUpdate("b");
+	for (const update of lateUpdates) {
+		holder.applyAllotmentUpdate(1, update);
+		next.handleReply("b", replyOfEarlierVersion());
+	}
+	assert.equal(nextManager.mayStart("b", "red", oneCpu), false, "it has applied no message of this term");
+	holder.applyAllotmentUpdate(2, nextManager.nextUpdate("b") as AllotmentUpdate);
+	next.handleReply("b", replyOfEarlierVersion());
+	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
+});
+
 test("a batch that was lost, arrives late or arrives twice is not started", async () => {
 	const cluster = new TestCluster();
 	const holder = cluster.startProcess("b");
