--- a/packages/team-quota/tests/manager.test.ts
+++ b/packages/team-quota/tests/manager.test.ts
@@ -307,6 +307,20 @@
 	assert.equal(restarted.admit("red", oneCpu).kind, "admitted");
 });
 
+/** Starts the next leader's process and its term. */
+function startNextTerm(cluster: TestCluster) {
+	const next = cluster.startProcess("a");
+	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
+	nextManager.start();
+	return { next, nextManager };
+}
+
+/** Returns a holder's reply as 0.8.0 sends it. */
+function replyWithoutTerm(holder: QuotaParticipant) {
+	const { term: _term, ...reply } = holder.reply();
+	return reply;
+}
+
 // Guards against a reply to a leader's message without an update, which still states what an earlier term's message
 // confirmed: the service's envelope names the new term. Controllers of 0.8.0 send no term in the reply itself.
 test("a reply without a term confirms only messages that were numbered above what it stated before", async () => {
@@ -314,20 +328,14 @@
 	const holder = cluster.startProcess("b");
 	const { manager } = await cluster.allotAllTo(holder);
 	manager.end();
-	const next = cluster.startProcess("a");
-	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
-	nextManager.start();
-	const replyOfEarlierVersion = () => {
-		const { term: _term, ...reply } = holder.reply();
-		return reply;
-	};
+	const { next, nextManager } = startNextTerm(cluster);
 	for (let i = 0; i < 4; i++) {
-		next.handleReply("b", replyOfEarlierVersion());
+		next.handleReply("b", replyWithoutTerm(holder));
 		for (let j = 0; j < 50; j++) nextManager.nextUpdate("b");
 	}
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), false, "it has applied no message of this term");
 	holder.applyAllotmentUpdate(2, nextManager.nextUpdate("b") as AllotmentUpdate);
-	next.handleReply("b", replyOfEarlierVersion());
+	next.handleReply("b", replyWithoutTerm(holder));
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
 });
 
@@ -339,22 +347,16 @@
 	const { manager } = await cluster.allotAllTo(holder);
 	const lateUpdates = Array.from({ length: 50 }, () => manager.nextUpdate("b") as AllotmentUpdate);
 	manager.end();
-	const next = cluster.startProcess("a");
-	const nextManager = next.beginTerm({ key: "leader", revision: 2 });
-	nextManager.start();
-	const replyOfEarlierVersion = () => {
-		const { term: _term, ...reply } = holder.reply();
-		return reply;
-	};
-	next.handleReply("b", replyOfEarlierVersion());
+	const { next, nextManager } = startNextTerm(cluster);
+	next.handleReply("b", replyWithoutTerm(holder));
 	for (let i = 0; i < 50; i++) nextManager.nextUpdate("b");
 	for (const update of lateUpdates) {
 		holder.applyAllotmentUpdate(1, update);
-		next.handleReply("b", replyOfEarlierVersion());
+		next.handleReply("b", replyWithoutTerm(holder));
 	}
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), false, "it has applied no message of this term");
 	holder.applyAllotmentUpdate(2, nextManager.nextUpdate("b") as AllotmentUpdate);
-	next.handleReply("b", replyOfEarlierVersion());
+	next.handleReply("b", replyWithoutTerm(holder));
 	assert.equal(nextManager.mayStart("b", "red", oneCpu), true);
 });
 
