--- a/src/coordination/controller-composition.ts
+++ b/src/coordination/controller-composition.ts
@@ -16,11 +16,13 @@
 import { maxCancellationStalenessMs } from "./leadership/cancellation-staleness.js";
 import { Leadership } from "./leadership/leadership.js";
 import { PeerChannel } from "./leadership/peer-channel.js";
+import { MemoryReport } from "./memory-report.js";
 import { Placer } from "./placement/placer.js";
 import type { Clock } from "./ports/clock.js";
 import type { CloudProvider } from "./ports/cloud.js";
 import type { Log } from "./ports/log.js";
 import type { PeerTransport } from "./ports/peers.js";
+import type { ProcessMemory } from "./ports/process-memory.js";
 import type { KeyValueStore } from "./ports/store.js";
 import type { TeamQuotaPort } from "./ports/team-quota.js";
 import type { WorkerGateway } from "./ports/workers.js";
@@ -39,6 +41,7 @@
 	workers: WorkerGateway;
 	peers: PeerTransport;
 	clock: Clock;
+	memory: ProcessMemory;
 	log: Log;
 	random: RandomGenerator;
 	/** Schedules a batch of actions to run after the events that are being handled. */
@@ -137,6 +140,13 @@
 		readiness: new Readiness({ replica, replicaSync, hasPeers: platform.others.length > 0, clock }),
 		runningTaskCounts,
 		pauseDetector: new PauseDetector(clock),
+		memoryReport: new MemoryReport({
+			memory: ports.memory,
+			replica,
+			leader: () => termSupervisor.leader,
+			clock,
+			log,
+		}),
 		teamQuota,
 		clock,
 		log,
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -10,6 +10,7 @@
 import { tickMs } from "./leader-composition.js";
 import type { Leadership } from "./leadership/leadership.js";
 import type { PeerChannel } from "./leadership/peer-channel.js";
+import type { MemoryReport } from "./memory-report.js";
 import type { Placer } from "./placement/placer.js";
 import type { Clock } from "./ports/clock.js";
 import type { Log } from "./ports/log.js";
@@ -39,6 +40,7 @@
 	readiness: Readiness;
 	runningTaskCounts: RunningTaskCounts;
 	pauseDetector: PauseDetector;
+	memoryReport: MemoryReport;
 	/** null: team quota is off. */
 	teamQuota: TeamQuotaPort | null;
 	clock: Clock;
@@ -109,13 +111,15 @@
 	}
 
 	private tick(): void {
-		const { replica, leadership, machineTypes, termSupervisor, heartbeatRouter } = this.components;
+		const { replica, leadership, machineTypes, termSupervisor, heartbeatRouter, memoryReport } =
+			this.components;
 		// The first leader's first write is the machine types. If they are absent, there has been no leader before.
 		if (replica.loaded && replica.machineTypes === null) leadership.endStartupHoldoff();
 		leadership.tick(replica.leader, replica.loaded);
 		if (leadership.authorizedTerm() !== null) machineTypes.tick();
 		termSupervisor.leader?.tick();
 		heartbeatRouter.tick();
+		memoryReport.tick();
 	}
 
 	private detectProcessPause(): void {
--- a/src/coordination/leader-composition.ts
+++ b/src/coordination/leader-composition.ts
@@ -22,6 +22,7 @@
 import type { CloudProvider } from "./ports/cloud.js";
 import type { Log } from "./ports/log.js";
 import type { PeerMessenger } from "./ports/peers.js";
+import type { ProcessMemory } from "./ports/process-memory.js";
 import type { KeyValueStore } from "./ports/store.js";
 import type { LeaderQuotaPort, TeamQuotaPort } from "./ports/team-quota.js";
 import type { WorkerGateway } from "./ports/workers.js";
@@ -56,6 +57,7 @@
 	workers: WorkerGateway;
 	peers: PeerMessenger;
 	clock: Clock;
+	memory: ProcessMemory;
 	log: Log;
 	/** Runs an action in the process's serial executor. */
 	post(action: () => void): void;
@@ -238,6 +240,7 @@
 		quotaAdmission,
 		tickDelay,
 		clock,
+		memory: ports.memory,
 		log,
 	};
 }
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -13,10 +13,12 @@
 import type { Failover } from "./leadership/failover.js";
 import type { FailureDetector } from "./leadership/failure-detector.js";
 import type { FeatureGate } from "./leadership/feature-gate.js";
+import { megabytes } from "./memory-report.js";
 import type { PlacementCycle } from "./placement/placement-cycle.js";
 import type { QuotaAdmission } from "./placement/quota-admission.js";
 import type { Clock } from "./ports/clock.js";
 import type { Log } from "./ports/log.js";
+import type { ProcessMemory } from "./ports/process-memory.js";
 import type { LeaderQuotaPort } from "./ports/team-quota.js";
 import type { PreemptionCycle } from "./preemption/preemption-cycle.js";
 import type { TickDelay } from "./runtime/tick-delay.js";
@@ -50,6 +52,7 @@
 	quotaAdmission: QuotaAdmission | null;
 	tickDelay: TickDelay;
 	clock: Clock;
+	memory: ProcessMemory;
 	log: Log;
 }
 
@@ -71,7 +74,9 @@
 	 * task starts before each of them has sent a heartbeat or its lease has expired.
 	 */
 	begin(): void {
-		const { authority, clusterState, replica, liveJobs, machineRecords, failover, log } = this.components;
+		const { authority, clusterState, replica, liveJobs, machineRecords, failover, clock, memory, log } =
+			this.components;
+		const loadStartedAt = clock.now();
 		liveJobs.loadAll();
 		machineRecords.load(replica.machineChunks);
 		for (const { value } of replica.machineChunks.values())
@@ -80,7 +85,12 @@
 		if (replica.machineRecordsMalformed) failover.blockStartsUntilLeasesExpire();
 		failover.sendProbes(false);
 		const { jobs, machines } = clusterState;
-		log.info({ term: authority.term, jobs: jobs.size, machines: machines.size }, "failover started");
+		const loadMs = Math.round(clock.now() - loadStartedAt);
+		const heapUsedMb = megabytes(memory.heapUsedBytes());
+		log.info(
+			{ term: authority.term, jobs: jobs.size, machines: machines.size, loadMs, heapUsedMb },
+			"failover started",
+		);
 	}
 
 	private loadMachine(id: MachineId, record: MachineRecord): void {
--- a/src/serve.ts
+++ b/src/serve.ts
@@ -8,6 +8,7 @@
 import type { OperatorSettings } from "./protocol/settings/operator.js";
 import type { PlatformSettings } from "./protocol/settings/platform.js";
 import { systemClock } from "./system-clock.js";
+import { systemMemory } from "./system-memory.js";
 import { createTeamQuota } from "./team-quota.js";
 import { parseAddress } from "./transport/address.js";
 import { CloudClient } from "./transport/clients/cloud-client.js";
@@ -111,6 +112,7 @@
 		workers: new WorkerClient(),
 		peers,
 		clock: systemClock,
+		memory: systemMemory,
 		log,
 		random: xoroshiro128plus(seed),
 		schedule: setImmediate,
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -97,6 +97,8 @@
 	linkFaultsActive = false;
 	/** Changed CPU limits of teams, which replace those of the settings. */
 	readonly teamLimitOverrides = new Map<string, number>();
+	/** Heap limit of processes that start from now on. */
+	heapLimitBytes = 102 * 1024 * 1024;
 	/** True if the settings of processes that start from now on name the future limits of the state service. */
 	nextLimitsAnnounced = false;
 
@@ -206,6 +208,7 @@
 			}),
 			peers: { send: (to, message) => this.sendPeerMessage(id, node, to, message) },
 			clock,
+			memory: { heapLimitBytes: this.heapLimitBytes, heapUsedBytes: () => 0 },
 			log,
 			random: xoroshiro128plus(this.incarnation),
 			schedule: queueMicrotask,
