Submissions: accepted jobs are bounded by the heap of the controller

Cause: nothing counted what accepted jobs take. Change: each controller adds up what its live jobs may take until their ends (job-memory.ts) and refuses what would exceed a third of its own heap limit with 503 and Retry-After: 10 (job-capacity.ts). Submissions in progress are counted. Beyond half of the bound the replica is brought up to date first, so that jobs that other controllers have accepted count; with a replica older than 10 s nothing is accepted. Loads keep one copy of the texts of full pages, page by page as they are read; the replica's audit no longer holds all records.

--- a/src/bookkeeping/done-task-pages.ts
+++ b/src/bookkeeping/done-task-pages.ts
@@ -6,8 +6,11 @@
  * leader that ends while a chunk is split ..." in chunked-records.test.ts; trace 50.
  */
 
+import * as v from "valibot";
+import type { StoreRow } from "../protocol/http/store-api.js";
 import type { JobId, Revision } from "../protocol/model/identifiers.js";
-import { parsePageName, type StoredChunk } from "../protocol/records/chunk.js";
+import { parsePageName, type StoredChunk, StoredProgressChunkSchema } from "../protocol/records/chunk.js";
+import { keys } from "../protocol/records/keys.js";
 import { countInPage, sharedPageText } from "./task-set.js";
 import { type Versioned, VersionedMap } from "./versioned.js";
 
@@ -39,7 +42,7 @@
 	/** Applies the write of a chunk. */
 	putChunk(key: string, value: StoredChunk<string>, revision: Revision): void {
 		const previous = this.chunks.get(key)?.value;
-		const chunk = withSharedTexts(value);
+		const chunk = withSharedPages(value);
 		if (!this.chunksByKey.put(key, chunk, revision)) return;
 		this.removeMissingPages(previous, chunk);
 		for (const [name, bits] of Object.entries(chunk.entries)) this.setPage(name, bits);
@@ -92,7 +95,13 @@
 }
 
 /** Returns the chunk with one copy of the text of all full pages, which are most pages of a large job. */
-function withSharedTexts(chunk: StoredChunk<string>): StoredChunk<string> {
+function withSharedPages(chunk: StoredChunk<string>): StoredChunk<string> {
 	const shared = Object.entries(chunk.entries).map(([name, bits]) => [name, sharedPageText(bits)]);
 	return { ...chunk, entries: Object.fromEntries(shared) };
 }
+
+/** Returns the row of the store with one copy of the text of all full pages of done tasks; others are unchanged. */
+export function withSharedTexts(row: StoreRow): StoreRow {
+	const isChunk = row.key.startsWith(keys.progress) && v.is(StoredProgressChunkSchema, row.value);
+	return isChunk ? { ...row, value: withSharedPages(row.value as StoredChunk<string>) } : row;
+}
--- a/src/bookkeeping/store-replica.ts
+++ b/src/bookkeeping/store-replica.ts
@@ -21,6 +21,7 @@
 import { decodeStoredRecord, type StoredRecord } from "../protocol/records/stored-record.js";
 import { type DonePage, DoneTaskPages } from "./done-task-pages.js";
 import { type CancelledJob, FinalJobCache } from "./final-job-cache.js";
+import { liveJobBytes } from "./job-memory.js";
 import { isNewer, type Versioned, VersionedMap } from "./versioned.js";
 
 /** Stand-in for the leader if the leader key cannot be decoded. No controller has this name. */
@@ -33,6 +34,7 @@
 	#leader: Versioned<LeaderRecord> | null = null;
 	#machineTypes: Versioned<MachineType[]> | null = null;
 	#features: FeatureSet = noFeatures;
+	#liveJobBytes = 0;
 	private readonly liveJobs = new VersionedMap<JobRecord>();
 	private readonly finalJobs: FinalJobCache;
 	private readonly donePages = new DoneTaskPages();
@@ -90,6 +92,11 @@
 		return this.liveJobs.entries;
 	}
 
+	/** Upper bound of the memory in bytes that the live jobs take until their ends, in a controller that leads. */
+	get liveJobBytes(): number {
+		return this.#liveJobBytes;
+	}
+
 	/** Final records of the jobs that ended last. */
 	get finalRecords(): ReadonlyMap<JobId, FinalJobRecord> {
 		return this.finalJobs.records;
@@ -197,6 +204,7 @@
 	/** Clears the live records. Final records are kept, and those of team quota, which change by revision only. */
 	private clearLiveRecords(): void {
 		this.liveJobs.clear();
+		this.#liveJobBytes = 0;
 		this.donePages.clear();
 		this.machines.clear();
 		this.#leader = null;
@@ -231,8 +239,7 @@
 	private putRecord(key: string, record: StoredRecord, revision: Revision): void {
 		switch (record.kind) {
 			case "job":
-				// Final records never change: the live record of such a job was read before the job ended.
-				if (!this.finalRecords.has(record.jobId)) this.liveJobs.put(record.jobId, record.value, revision);
+				this.putLiveJob(record.jobId, record.value, revision);
 				break;
 			case "final":
 				this.addFinalRecord(record.jobId, record.value, revision);
@@ -260,6 +267,14 @@
 		}
 	}
 
+	private putLiveJob(jobId: JobId, record: JobRecord, revision: Revision): void {
+		// Final records never change: the live record of such a job was read before the job ended.
+		if (this.finalRecords.has(jobId)) return;
+		const previous = this.jobs.get(jobId);
+		if (!this.liveJobs.put(jobId, record, revision)) return;
+		this.#liveJobBytes += liveJobBytes(record.spec) - (previous ? liveJobBytes(previous.value.spec) : 0);
+	}
+
 	private remove(key: string, revision: Revision): void {
 		this.malformedKeys.delete(key);
 		if (key.startsWith(keys.jobs)) this.removeLiveJob(key.slice(keys.jobs.length), revision);
@@ -286,6 +301,7 @@
 	private removeLiveJob(jobId: JobId, revision: Revision): boolean {
 		const live = this.jobs.get(jobId);
 		if (!live || !this.liveJobs.remove(jobId, revision)) return false;
+		this.#liveJobBytes -= liveJobBytes(live.value.spec);
 		this.finalJobs.addDemand(jobId, taskDemandOf(live.value.spec));
 		return true;
 	}
--- a/src/bookkeeping/task-set.ts
+++ b/src/bookkeeping/task-set.ts
@@ -137,9 +137,15 @@
 	return Buffer.from(bits).toString("base64");
 }
 
-/** A page all of whose tasks are members. */
+/** The text of a page all of whose tasks are members, unless it is the last page of its job. */
 const fullPageText = encodeFullPage(tasksPerPage);
 
+/** Returns the length of the text of a page with this number of tasks. */
+export function pageTextLength(tasks: number): number {
+	const base64CharactersPerThreeBytes = 4;
+	return base64CharactersPerThreeBytes * Math.ceil(Math.ceil(tasks / 8) / 3);
+}
+
 /** Returns the page's text, the same string for all full pages: those that are read from the store share one copy. */
 export function sharedPageText(text: string): string {
 	return text === fullPageText ? fullPageText : text;
--- a/src/coordination/controller-composition.ts
+++ b/src/coordination/controller-composition.ts
@@ -118,6 +118,8 @@
 		replicaSync,
 		store,
 		clock,
+		memory: ports.memory,
+		log,
 		quotaOf: (team) => quotaOf(platform, teamQuota, team),
 		zones: platform.cluster.zones,
 		maxValueBytes: platform.cluster.state.value_kb * 1024,
--- a/src/coordination/jobs/job-results.ts
+++ b/src/coordination/jobs/job-results.ts
@@ -21,6 +21,15 @@
 	reason: string;
 }
 
+/** The result of a submission that the controllers cannot hold now. The job is not accepted. */
+export interface Overloaded {
+	kind: "overloaded";
+	/** Shown to the user. */
+	reason: string;
+	/** Seconds after which the user should submit the job again. */
+	retryAfterS: number;
+}
+
 /** Result of a submission. */
 export type SubmitResult =
 	/** The job is in the store now. */
@@ -31,6 +40,7 @@
 	| { kind: "rejected"; reason: string }
 	/** A field names something that does not exist, such as a zone. */
 	| { kind: "malformed"; reason: string }
+	| Overloaded
 	| Unavailable;
 
 /** Result of a status request or a cancellation. */
--- a/src/coordination/jobs/job-service.ts
+++ b/src/coordination/jobs/job-service.ts
@@ -5,9 +5,12 @@
 import type { JobSpec } from "../../protocol/model/job.js";
 import type { TeamQuota } from "../../protocol/model/team-quota.js";
 import type { Clock } from "../ports/clock.js";
+import type { Log } from "../ports/log.js";
+import type { ProcessMemory } from "../ports/process-memory.js";
 import type { KeyValueStore } from "../ports/store.js";
 import type { ReplicaSync } from "../replication/replica-sync.js";
 import { JobCancellation } from "./job-cancellation.js";
+import { JobCapacity } from "./job-capacity.js";
 import { type JobLookup, type SubmitResult, unavailableResult } from "./job-results.js";
 import { JobStateReader } from "./job-state-reader.js";
 import { JobSubmission } from "./job-submission.js";
@@ -18,6 +21,8 @@
 	replicaSync: ReplicaSync;
 	store: KeyValueStore;
 	clock: Clock;
+	memory: ProcessMemory;
+	log: Log;
 	/** Returns the quota of a team; undefined: there is no such team. */
 	quotaOf(team: string): TeamQuota | undefined;
 	/** The zones in the platform's settings; empty: the settings do not list them. */
@@ -42,7 +47,8 @@
 
 	constructor(options: JobServiceOptions) {
 		this.stateReader = new JobStateReader(options);
-		this.submission = new JobSubmission({ ...options, stateReader: this.stateReader });
+		const capacity = new JobCapacity(options);
+		this.submission = new JobSubmission({ ...options, stateReader: this.stateReader, capacity });
 		this.cancellation = new JobCancellation({ ...options, stateReader: this.stateReader });
 	}
 
--- a/src/coordination/jobs/job-submission.ts
+++ b/src/coordination/jobs/job-submission.ts
@@ -10,10 +10,17 @@
 import type { Clock } from "../ports/clock.js";
 import type { KeyValueStore } from "../ports/store.js";
 import type { ReplicaSync } from "../replication/replica-sync.js";
+import type { JobCapacity } from "./job-capacity.js";
 import { infeasibilityReason } from "./job-feasibility.js";
 import { type SubmitResult, unavailableResult } from "./job-results.js";
 import type { JobStateReader } from "./job-state-reader.js";
 
+/** Users submit a job again this long after it was refused for lack of memory. */
+const overloadRetryS = 10;
+
+/** No job is accepted by a replica that is older than this: it would not show what other controllers have accepted. */
+const maxReplicaAgeMs = 10_000;
+
 /** Dependencies of the submission. */
 export interface JobSubmissionOptions {
 	replica: StoreReplica;
@@ -21,6 +28,7 @@
 	store: KeyValueStore;
 	clock: Clock;
 	stateReader: JobStateReader;
+	capacity: JobCapacity;
 	/** Returns the quota of a team; undefined: there is no such team. */
 	quotaOf(team: string): TeamQuota | undefined;
 	/** The zones in the platform's settings; empty: the settings do not list them. */
@@ -53,6 +61,8 @@
 	private async submitNew(spec: JobSpec): Promise<SubmitResult> {
 		const { replica, replicaSync, clock } = this.options;
 		replicaSync.assertResponsive();
+		if (clock.now() - replicaSync.syncedAt > maxReplicaAgeMs)
+			return { kind: "unavailable", reason: "the changes of the state service do not arrive for now" };
 		const types = replica.machineTypes?.value;
 		if (!replica.loaded || !types) {
 			return { kind: "unavailable", reason: "the machine types are not known yet" };
@@ -63,7 +73,7 @@
 		}
 		const record = encodeJobRecord({ spec, acceptedAt: clock.date().getTime() });
 		const refusal = this.validate(spec, record, types);
-		return refusal ? this.refuse(spec.id, refusal) : this.accept(spec.id, record);
+		return refusal ? this.refuse(spec.id, refusal) : this.acceptWithinCapacity(spec, record);
 	}
 
 	private validate(spec: JobSpec, record: StoredJobRecord, types: MachineType[]): SubmitResult | null {
@@ -86,6 +96,22 @@
 		return existing ? { kind: "duplicate", status: existing.status } : refusal;
 	}
 
+	/** Accepts the job if every controller, as the leader, can hold it beside the accepted ones. */
+	private async acceptWithinCapacity(spec: JobSpec, record: StoredJobRecord): Promise<SubmitResult> {
+		const { capacity, replicaSync, call } = this.options;
+		if (await call(() => capacity.scarce)) await replicaSync.readBarrier();
+		const reservation = await call(() => capacity.reserve(spec));
+		if (!reservation) {
+			const reason = "as many jobs are accepted as the controllers can hold";
+			return { kind: "overloaded", reason, retryAfterS: overloadRetryS };
+		}
+		try {
+			return await this.accept(spec.id, record);
+		} finally {
+			await call(() => reservation.release());
+		}
+	}
+
 	private async accept(id: JobId, record: StoredJobRecord): Promise<SubmitResult> {
 		const { store, replica, call } = this.options;
 		const key = keys.job(id);
--- a/src/coordination/memory-report.ts
+++ b/src/coordination/memory-report.ts
@@ -43,6 +43,7 @@
 		const heapLimitMb = megabytes(memory.heapLimitBytes);
 		const jobs = replica.jobs.size;
 		const machines = leader()?.clusterState.machines.size ?? 0;
-		log.debug({ heapUsedMb, heapLimitMb, jobs, tasks, machines }, "memory in use");
+		const jobMemoryMb = megabytes(replica.liveJobBytes);
+		log.debug({ heapUsedMb, heapLimitMb, jobs, tasks, jobMemoryMb, machines }, "memory in use");
 	}
 }
--- a/src/coordination/ports/store.ts
+++ b/src/coordination/ports/store.ts
@@ -18,12 +18,23 @@
  */
 export type WritePriority = "user" | "normal" | "background";
 
+/** Some rows of a prefix, which may also include changes after the revision. */
+export interface StorePage {
+	rows: StoreRow[];
+	revision: Revision;
+}
+
 /** The store. All calls reject with a CallError. */
 export interface KeyValueStore {
 	/** Reads the row of a key; null: there is none. */
 	read(key: string): Promise<{ row: StoreRow | null }>;
 	/** Reads all rows below a prefix, and a revision whose changes they include; they may also include later changes. */
 	readPrefix(prefix: string): Promise<{ rows: StoreRow[]; revision: Revision }>;
+	/**
+	 * Reads all rows below a prefix in the order of their keys, page by page, so that the caller need not hold all values
+	 * at once. There is at least one page. Each has a revision whose changes its rows include.
+	 */
+	readPages(prefix: string): AsyncIterable<StorePage>;
 	/** Makes all changes atomically if every key in the conditions has the given revision, and none otherwise. */
 	compareAndSwap(
 		conditions: StoreCondition[],
--- a/src/coordination/replication/replica-audit.ts
+++ b/src/coordination/replication/replica-audit.ts
@@ -7,7 +7,6 @@
  */
 
 import type { StoreReplica } from "../../bookkeeping/store-replica.js";
-import type { StoreRow } from "../../protocol/http/store-api.js";
 import type { JobId } from "../../protocol/model/identifiers.js";
 import { keys } from "../../protocol/records/keys.js";
 import type { Clock, Timer } from "../ports/clock.js";
@@ -73,15 +72,16 @@
 	private async compare(): Promise<boolean> {
 		const { replica, store, post, readBarrier } = this.options;
 		if (!replica.loaded) return false;
-		const { rows } = await store.readPrefix(keys.jobs);
-		// The replica must now have every row that was in the store when the rows were read.
+		const storedKeys: string[] = [];
+		for await (const { rows } of store.readPages(keys.jobs)) storedKeys.push(...rows.map(({ key }) => key));
+		// The replica must now have every row that was in the store when the keys were read.
 		await readBarrier();
-		return new Promise((resolve) => post(() => resolve(this.compareRows(rows))));
+		return new Promise((resolve) => post(() => resolve(this.compareKeys(storedKeys))));
 	}
 
-	private compareRows(rows: readonly StoreRow[]): boolean {
+	private compareKeys(storedKeys: readonly string[]): boolean {
 		const { replica, log } = this.options;
-		const stored = new Set(rows.map((row) => row.key.slice(keys.jobs.length)));
+		const stored = new Set(storedKeys.map((key) => key.slice(keys.jobs.length)));
 		const differing = new Set<JobId>();
 		for (const jobId of stored) if (!replica.hasJobRecord(jobId)) differing.add(jobId);
 		for (const jobId of replica.jobs.keys()) if (!stored.has(jobId)) differing.add(jobId);
--- a/src/coordination/replication/replica-sync.ts
+++ b/src/coordination/replication/replica-sync.ts
@@ -6,8 +6,9 @@
  * change up to the revision of its response.
  */
 
+import { withSharedTexts } from "../../bookkeeping/done-task-pages.js";
 import type { StoreReplica } from "../../bookkeeping/store-replica.js";
-import type { StoreEvent } from "../../protocol/http/store-api.js";
+import type { StoreEvent, StoreRow } from "../../protocol/http/store-api.js";
 import type { Revision } from "../../protocol/model/identifiers.js";
 import { keys } from "../../protocol/records/keys.js";
 import { CallError } from "../ports/call-error.js";
@@ -234,12 +235,16 @@
 	private async load(): Promise<void> {
 		const { replica, store, clock, post } = this.options;
 		const startedAt = clock.now();
-		const parts = [];
+		const rows: StoreRow[] = [];
+		let revision = Number.POSITIVE_INFINITY;
 		// One at a time, machines last: a burst of calls would exhaust a starting controller's share of the request rate.
-		for (const prefix of [keys.singletons, keys.jobs, keys.progress, keys.quota, keys.machines])
-			parts.push(await store.readPrefix(prefix));
-		const rows = parts.flatMap((part) => part.rows);
-		const revision = Math.min(...parts.map((part) => part.revision));
+		for (const prefix of [keys.singletons, keys.jobs, keys.progress, keys.quota, keys.machines]) {
+			for await (const page of store.readPages(prefix)) {
+				for (const row of page.rows) rows.push(withSharedTexts(row));
+				// Later pages may contain later changes. The watch repeats the changes after the lowest revision.
+				revision = Math.min(revision, page.revision);
+			}
+		}
 		await new Promise<void>((resolve) =>
 			post(() => {
 				replica.reset(rows, revision);
--- a/src/transport/clients/store-client.ts
+++ b/src/transport/clients/store-client.ts
@@ -2,7 +2,12 @@
 
 import { CallError } from "../../coordination/ports/call-error.js";
 import { type Clock, delay } from "../../coordination/ports/clock.js";
-import type { CompareAndSwapResult, KeyValueStore, WritePriority } from "../../coordination/ports/store.js";
+import type {
+	CompareAndSwapResult,
+	KeyValueStore,
+	StorePage,
+	WritePriority,
+} from "../../coordination/ports/store.js";
 import { paths } from "../../protocol/http/paths.js";
 import {
 	compareAndSwapBody,
@@ -122,19 +127,26 @@
 
 	async readPrefix(prefix: string): Promise<{ rows: StoreRow[]; revision: Revision }> {
 		const allRows: StoreRow[] = [];
-		let afterKey: string | null = null;
 		let firstRevision: Revision | null = null;
+		for await (const { rows, revision } of this.readPages(prefix)) {
+			// Later pages may contain later changes. A watch from the revision of the first page repeats those.
+			firstRevision ??= revision;
+			allRows.push(...rows);
+		}
+		return { rows: allRows, revision: firstRevision ?? 0 };
+	}
+
+	async *readPages(prefix: string): AsyncGenerator<StorePage> {
+		let afterKey: string | null = null;
 		for (;;) {
 			await this.acquireTokens(this.requestTokens, 1, 0, maxPageWaitMs);
 			const path = rowsPath(prefix, afterKey, pageSize);
 			const response = await this.http.call("GET", path, undefined, rowsTimeoutMs);
 			expectStatus(response, "rows", 200);
 			const { rows, hasMore, revision } = parseResponse(response, "rows", parseRows);
-			// Later pages may contain later changes. A watch from the revision of the first page repeats those.
-			firstRevision ??= revision;
-			allRows.push(...rows);
+			yield { rows, revision };
 			const last = rows.at(-1);
-			if (!hasMore || !last) return { rows: allRows, revision: firstRevision };
+			if (!hasMore || !last) return;
 			afterKey = last.key;
 		}
 	}
--- a/src/transport/public/public-api.ts
+++ b/src/transport/public/public-api.ts
@@ -14,8 +14,8 @@
 import type { PublicService } from "./public-service.js";
 import { bodyTooLargeMessage, readBody } from "./request-body.js";
 
-/** The delay after which users should retry, for the `retry-after` header. */
-const retryAfterS = "1";
+/** Seconds after which users should retry, unless the service names another delay. */
+const defaultRetryAfterS = 1;
 
 const jobPath = `${paths.jobs}/:id` as const;
 const cancelPath = `${jobPath}/abort` as const;
@@ -76,6 +76,8 @@
 			return errorResponse(400, result.reason);
 		case "rejected":
 			return errorResponse(422, result.reason);
+		case "overloaded":
+			return unavailableResponse(result.reason, result.retryAfterS);
 		case "unavailable":
 			return unavailableResponse(result.reason);
 	}
@@ -117,8 +119,8 @@
 	return errorResponse(405, `the method is not allowed here, use ${allow}`, { allow });
 }
 
-function unavailableResponse(reason: string): Response {
-	return errorResponse(503, reason, { "retry-after": retryAfterS });
+function unavailableResponse(reason: string, retryAfterS = defaultRetryAfterS): Response {
+	return errorResponse(503, reason, { "retry-after": String(retryAfterS) });
 }
 
 function errorResponse(status: number, error: string, headers?: Record<string, string>): Response {
--- a/tests/coordination/replication/replica-sync.test.ts
+++ b/tests/coordination/replication/replica-sync.test.ts
@@ -14,7 +14,9 @@
 	const time = new FakeTime();
 	const pendingRejections: ((error: Error) => void)[] = [];
 	const store = {
-		readPrefix: async () => ({ rows: [], revision: 1 }),
+		readPages: async function* () {
+			yield { rows: [], revision: 1 };
+		},
 		watch: () => new Promise<never>((_, reject) => pendingRejections.push(reject)),
 	} as unknown as KeyValueStore;
 	const sync = new ReplicaSync({
--- a/tests/transport/public/public-api.test.ts
+++ b/tests/transport/public/public-api.test.ts
@@ -42,6 +42,15 @@
 		assert.equal((await apiOf().submit(submissionBody({ desk: "green" }))).status, 422);
 	});
 
+	test("that the controllers cannot hold now gets 503, the reason and the delay of the next try", async () => {
+		const service = {
+			submit: async () => ({ kind: "overloaded", reason: "too many jobs", retryAfterS: 10 }) as const,
+		};
+		const response = await apiOf(service).submit(submissionBody());
+		assert.deepEqual([response.status, await response.json()], [503, { error: "too many jobs" }]);
+		assert.equal(response.headers.get("retry-after"), "10");
+	});
+
 	test("with an invalid field gets 400 and the field's name", async () => {
 		const response = await apiOf().submit(submissionBody({ cores: null }));
 		assert.equal(response.status, 400);
