--- a/packages/team-quota/src/allotment-writer.ts
+++ b/packages/team-quota/src/allotment-writer.ts
@@ -8,6 +8,7 @@
 	StoredCondition,
 	StoredValues,
 } from "./stored-values.js";
+import type { Uint64 } from "./uint64.js";
 
 export interface QuotaLog {
 	info(fields: object, message: string): void;
@@ -122,7 +123,7 @@
 	}
 
 	/** Applies a stored value, whether it comes from a write of this process, a watch event or a read. */
-	applyStoredValue(key: string, value: unknown, revision: number): void {
+	applyStoredValue(key: string, value: unknown, revision: Uint64): void {
 		const { values, log } = this.options;
 		const before = new Map([...values.teams].map((team) => [team, values.record(team)]));
 		const teams = values.apply(key, value, revision);
--- a/packages/team-quota/src/holder-messages.ts
+++ b/packages/team-quota/src/holder-messages.ts
@@ -1,5 +1,6 @@
 import * as v from "valibot";
 import { type Amount, AmountSchema } from "./amount.js";
+import { type Uint64, Uint64Schema } from "./uint64.js";
 
 /**
  * Messages between the leader's allotment manager and the holders, sent under these field names.
@@ -46,7 +47,7 @@
 	 * Term of leadership of the last update that was applied. A reply may reach the leader of a later term, to which
 	 * `confirmed` and `batch` then state nothing. Controllers of 0.8.0 do not send it.
 	 */
-	term?: number | undefined;
+	term?: Uint64 | undefined;
 	/** Number of the last update that was applied. */
 	confirmed: number;
 	/**
@@ -73,7 +74,7 @@
 const HolderReplySchema = v.object({
 	incarnation: NameSchema,
 	number: CountSchema,
-	term: v.optional(CountSchema),
+	term: v.optional(Uint64Schema),
 	confirmed: CountSchema,
 	batch: CountSchema,
 	wanted: v.optional(v.array(v.object({ team: NameSchema, amount: AmountSchema }))),
--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { maxClockDriftFraction } from "./holder.js";
 import type { AllotmentUpdate, HolderReply, TeamAllotmentUpdate } from "./holder-messages.js";
+import type { Uint64 } from "./uint64.js";
 
 /** The state that the manager keeps for a process of another controller during this term. */
 interface HolderProcess {
@@ -27,7 +28,7 @@
 	/** The leader's process. */
 	incarnation: string;
 	/** The term of leadership. */
-	term: number;
+	term: Uint64;
 	/** Monotonic time at which the term began, in milliseconds. */
 	termStartedAt: number;
 	expiryMs: number;
--- a/packages/team-quota/src/holder.ts
+++ b/packages/team-quota/src/holder.ts
@@ -12,6 +12,7 @@
 	RequestedAmount,
 	TeamAllotmentUpdate,
 } from "./holder-messages.js";
+import type { Uint64 } from "./uint64.js";
 
 /** Maximum relative drift between the monotonic clocks of two machines. */
 export const maxClockDriftFraction = 0.001;
@@ -63,7 +64,7 @@
  * nothing. An admission counts as used until its task is known to have ended or never to start.
  */
 export class AllotmentHolder {
-	private term = noTerm;
+	private term: Uint64 = noTerm;
 	private lastMessageNumber = 0;
 	private readonly teams = new Map<string, ReceivedTeamUpdate>();
 	/** Admitted amounts of the batches that the leader has not settled, by batch number and team. */
@@ -89,7 +90,7 @@
 	 * Applies an update from the leader of the term. Updates of an earlier leader, for an earlier process of
 	 * this node, or older than the last one applied are ignored.
 	 */
-	applyUpdate(term: number, update: AllotmentUpdate): void {
+	applyUpdate(term: Uint64, update: AllotmentUpdate): void {
 		if (term < this.term || update.incarnation !== this.options.incarnation) return;
 		if (term > this.term) this.beginTerm(term);
 		if (update.number <= this.lastMessageNumber) return;
@@ -102,7 +103,7 @@
 	}
 
 	/** Begins the term with this process as its leader: allotments that it held in earlier terms are void. */
-	becomeLeader(term: number): void {
+	becomeLeader(term: Uint64): void {
 		if (term > this.term) this.beginTerm(term);
 	}
 
@@ -110,7 +111,7 @@
 	 * Discards the state of earlier terms. Their leaders start nothing any more: admissions that they
 	 * received and did not start are void.
 	 */
-	private beginTerm(term: number): void {
+	private beginTerm(term: Uint64): void {
 		this.term = term;
 		this.lastMessageNumber = 0;
 		this.teams.clear();
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -16,6 +16,7 @@
 import { HolderRegistry } from "./holder-registry.js";
 import { type Allotment, allotmentOf, capOf, type LimitAndGuarantee, type QuotaRecord } from "./record.js";
 import { RevocationsInProgress } from "./revocations.js";
+import type { Uint64 } from "./uint64.js";
 
 export interface AllotmentManagerOptions
 	extends Omit<AllotmentWriterOptions, "onRecordsChanged" | "onAllotmentResized"> {
@@ -265,7 +266,7 @@
 	}
 
 	/** Applies a stored value; undefined if the key was deleted. */
-	applyStoredValue(key: string, value: unknown, revision: number): void {
+	applyStoredValue(key: string, value: unknown, revision: Uint64): void {
 		this.writer.applyStoredValue(key, value, revision);
 	}
 
--- a/packages/team-quota/src/quota-participant.ts
+++ b/packages/team-quota/src/quota-participant.ts
@@ -11,6 +11,7 @@
 import { AllotmentManager } from "./manager.js";
 import type { LimitAndGuarantee } from "./record.js";
 import { type QuotaStore, type StoredCondition, StoredValues } from "./stored-values.js";
+import type { Uint64 } from "./uint64.js";
 
 export interface QuotaParticipantSettings {
 	/** A holder that has not replied for about this long loses its allotments. */
@@ -69,7 +70,7 @@
 	// --- stored values ---
 
 	/** Applies a stored value; undefined if the key was deleted. */
-	applyStoredValue(key: string, value: unknown, revision: number): void {
+	applyStoredValue(key: string, value: unknown, revision: Uint64): void {
 		if (this.manager) this.manager.applyStoredValue(key, value, revision);
 		else this.values.apply(key, value, revision);
 	}
@@ -88,7 +89,7 @@
 	// --- as a holder ---
 
 	/** Applies an update from the leader of the term. A malformed update is ignored. */
-	applyAllotmentUpdate(term: number, raw: unknown): void {
+	applyAllotmentUpdate(term: Uint64, raw: unknown): void {
 		const update = parseAllotmentUpdate(raw);
 		if (update) this.holder.applyUpdate(term, update);
 	}
--- a/packages/team-quota/src/quota-service.ts
+++ b/packages/team-quota/src/quota-service.ts
@@ -12,6 +12,7 @@
 import type { AllotmentUpdate, HolderReply } from "./holder-messages.js";
 import type { AllotmentManager } from "./manager.js";
 import type { QuotaParticipant } from "./quota-participant.js";
+import type { Uint64 } from "./uint64.js";
 
 /** The resources that one task of a team needs, in CPUs and accelerators. */
 export interface TaskDemand {
@@ -45,7 +46,7 @@
 		private readonly leaderKey: string,
 	) {}
 
-	applyStoredValue(key: string, value: unknown, revision: number): void {
+	applyStoredValue(key: string, value: unknown, revision: Uint64): void {
 		this.participant.applyStoredValue(key, value, revision);
 	}
 
@@ -64,7 +65,7 @@
 		};
 	}
 
-	applyAllotmentUpdate(term: number, update: unknown): void {
+	applyAllotmentUpdate(term: Uint64, update: unknown): void {
 		this.participant.applyAllotmentUpdate(term, update);
 	}
 
@@ -88,7 +89,7 @@
 		return this.participant.reply();
 	}
 
-	beginTerm(term: number): LeaderQuota {
+	beginTerm(term: Uint64): LeaderQuota {
 		const manager = this.participant.beginTerm({ key: this.leaderKey, revision: term });
 		return new LeaderQuota(this.participant, manager);
 	}
--- a/packages/team-quota/src/stored-values.ts
+++ b/packages/team-quota/src/stored-values.ts
@@ -1,5 +1,6 @@
 import { maxRecordBytes, type PackedQuotaValue, packValue, unpackValue } from "./packed-record.js";
 import type { QuotaRecord } from "./record.js";
+import type { Uint64 } from "./uint64.js";
 
 export interface StoredChange {
 	key: string;
@@ -9,18 +10,18 @@
 export interface StoredCondition {
 	key: string;
 	/** 0 requires that the key does not exist. */
-	revision: number;
+	revision: Uint64;
 }
 
 export type QuotaWriteResult =
-	| { kind: "written"; revision: number }
+	| { kind: "written"; revision: Uint64 }
 	/** The keys whose revisions differ from the conditions. */
 	| { kind: "conflict"; keys: string[] };
 
 export interface QuotaRow {
 	key: string;
 	value: unknown;
-	revision: number;
+	revision: Uint64;
 }
 
 /** The operations of the state service that the package uses. A call that fails may or may not be executed. */
@@ -32,7 +33,7 @@
 }
 
 interface StoredValue {
-	revision: number;
+	revision: Uint64;
 	records: Map<string, QuotaRecord>;
 	/** Teams whose records in this value cannot be read. */
 	unreadableTeams: string[];
@@ -69,7 +70,7 @@
 	 * Applies a value of the state service, undefined if the key does not exist, and returns the teams whose
 	 * records may have changed. A revision that is not newer than the current one is ignored.
 	 */
-	apply(key: string, value: unknown, revision: number): string[] {
+	apply(key: string, value: unknown, revision: Uint64): string[] {
 		const current = this.values.get(key);
 		if (current && current.revision >= revision) return [];
 		const previousTeams = current ? [...current.records.keys()] : [];
@@ -112,7 +113,7 @@
 		}));
 	}
 
-	private revisionOf(key: string): number {
+	private revisionOf(key: string): Uint64 {
 		const value = this.values.get(key);
 		return value && (value.records.size > 0 || value.unreadableTeams.length > 0) ? value.revision : 0;
 	}
--- a/src/bookkeeping/attempt.ts
+++ b/src/bookkeeping/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt at a task, from its assignment to a machine until it is confirmed to have ended. */
 
 import { RamphubError } from "../protocol/errors.js";
-import { type TaskId, taskIdOf } from "../protocol/model/identifiers.js";
+import { type AttemptNumber, type TaskId, taskIdOf } from "../protocol/model/identifiers.js";
 import type { TaskState } from "../protocol/model/worker.js";
 import type { Job } from "./job.js";
 import type { Machine } from "./machine.js";
@@ -36,7 +36,7 @@
 export interface AttemptDescription {
 	job: Job;
 	taskIndex: number;
-	number: number;
+	number: AttemptNumber;
 	machine: Machine;
 	phase: "assigned" | "sent";
 }
@@ -49,8 +49,7 @@
 export class Attempt {
 	readonly job: Job;
 	readonly taskIndex: number;
-	/** Unique in the cluster; later attempts of a task have larger numbers. */
-	readonly number: number;
+	readonly number: AttemptNumber;
 	readonly machine: Machine;
 	readonly taskId: TaskId;
 	#phase: AttemptPhase;
--- a/src/bookkeeping/final-job-cache.ts
+++ b/src/bookkeeping/final-job-cache.ts
@@ -5,6 +5,7 @@
 
 import type { JobId, Revision } from "../protocol/model/identifiers.js";
 import type { TaskDemand } from "../protocol/model/job.js";
+import { maxUint64, minUint64 } from "../protocol/model/uint64.js";
 import type { FinalJobRecord } from "../protocol/records/final-record.js";
 
 /** Lower bound of the cache's size, for final records and for demands. */
@@ -59,7 +60,7 @@
 		this.cancellations.set(jobId, { jobId, record, revision });
 		const evicted = evictOldestBeyond(this.cancellations, this.maxCancellations);
 		if (evicted)
-			this.cancellationsCompleteAfter = Math.max(this.cancellationsCompleteAfter, evicted.revision);
+			this.cancellationsCompleteAfter = maxUint64(this.cancellationsCompleteAfter, evicted.revision);
 	}
 
 	/** Adds the demand of a task of an ended job that was live in this replica. */
@@ -75,7 +76,7 @@
 
 	/** Called when the replica was loaded as of this revision: from then on every later cancellation is added. */
 	onReplicaLoaded(revision: Revision): void {
-		this.cancellationsCompleteAfter = Math.min(this.cancellationsCompleteAfter, revision);
+		this.cancellationsCompleteAfter = minUint64(this.cancellationsCompleteAfter, revision);
 	}
 
 	/**
--- a/src/bookkeeping/orphaned-task.ts
+++ b/src/bookkeeping/orphaned-task.ts
@@ -1,6 +1,6 @@
 /** Attempts that workers list but that no live job needs, for example after a cancellation. */
 
-import type { JobId } from "../protocol/model/identifiers.js";
+import type { AttemptNumber, JobId } from "../protocol/model/identifiers.js";
 import type { TaskDemand } from "../protocol/model/job.js";
 import type { AttemptRef } from "../protocol/model/worker.js";
 import type { QuotaCharge } from "./quota-ledger.js";
@@ -19,7 +19,7 @@
 export class OrphanedTask implements AttemptRef {
 	readonly jobId: JobId;
 	readonly taskIndex: number;
-	readonly attempt: number;
+	readonly attempt: AttemptNumber;
 	#quotaUsage: QuotaUsage | null = null;
 
 	constructor({ jobId, taskIndex, attempt }: AttemptRef) {
--- a/src/bookkeeping/store-replica.ts
+++ b/src/bookkeeping/store-replica.ts
@@ -12,6 +12,7 @@
 import type { JobId, Revision } from "../protocol/model/identifiers.js";
 import { type TaskDemand, taskDemandOf } from "../protocol/model/job.js";
 import type { MachineType } from "../protocol/model/machine.js";
+import { compareUint64 } from "../protocol/model/uint64.js";
 import type { StoredChunk } from "../protocol/records/chunk.js";
 import type { FinalJobRecord } from "../protocol/records/final-record.js";
 import type { JobRecord } from "../protocol/records/job-record.js";
@@ -162,7 +163,7 @@
 		const removedQuotaKeys = [...this.quotas.keys()].filter((key) => !loadedKeys.has(key));
 		this.clearLiveRecords();
 		// If two chunks hold the same entry, the later one is valid: a leader may have failed while it split a chunk.
-		for (const row of [...rows].sort((a, b) => a.revision - b.revision))
+		for (const row of [...rows].sort((a, b) => compareUint64(a.revision, b.revision)))
 			this.put(row.key, row.value, row.revision);
 		this.#revision = revision;
 		this.#loaded = true;
--- a/src/bookkeeping/worker-agent.ts
+++ b/src/bookkeeping/worker-agent.ts
@@ -1,6 +1,7 @@
 /** The leader's state of the worker on a machine: its lease, its agent epoch and whether responses reach it. */
 
-import type { AgentEpoch } from "../protocol/model/identifiers.js";
+import type { AgentEpoch, HeartbeatSequence } from "../protocol/model/identifiers.js";
+import { nextUint64 } from "../protocol/model/uint64.js";
 import type { WorkerHeartbeat } from "../protocol/model/worker.js";
 
 /** Number of ineffective responses in a row after which the worker counts as unreachable: a single one may be lost. */
@@ -27,7 +28,7 @@
 	#endpoint = "";
 	#epoch: AgentEpoch = 0;
 	#minEpoch: AgentEpoch = 0;
-	#sequence = -1;
+	#sequence: HeartbeatSequence = -1;
 	#running = false;
 	#fenced = false;
 	#leaseExpired = false;
@@ -59,7 +60,7 @@
 	}
 
 	/** Sequence number of the latest heartbeat; -1: there was none. */
-	get sequence(): number {
+	get sequence(): HeartbeatSequence {
 		return this.#sequence;
 	}
 
@@ -137,7 +138,7 @@
 	expireLease(): void {
 		this.#leaseExpired = true;
 		this.#fenced = false;
-		if (this.#epoch > 0) this.#minEpoch = this.#epoch + 1;
+		if (this.#epoch > 0) this.#minEpoch = nextUint64(this.#epoch);
 	}
 
 	/**
--- a/src/coordination/fleet/machine-type-catalog.ts
+++ b/src/coordination/fleet/machine-type-catalog.ts
@@ -1,3 +1,4 @@
+import { revisionOf, type Term } from "../../protocol/model/identifiers.js";
 import type { MachineType } from "../../protocol/model/machine.js";
 import { keys } from "../../protocol/records/keys.js";
 import { encodeMachineTypes } from "../../protocol/records/singleton-records.js";
@@ -18,7 +19,7 @@
 	/** Runs the action in the process's serial executor. */
 	post(action: () => void): void;
 	/** Returns the term in which this process may act as the leader; null: it may not act. */
-	authorizedTerm(): number | null;
+	authorizedTerm(): Term | null;
 	/** Returns the machine types in the store; null: there are none. */
 	storedTypes(): MachineType[] | null;
 	/** Called with the machine types that were read from the cloud. */
@@ -73,7 +74,11 @@
 		if (term === null || sameTypes(storedTypes() ?? [], types)) return;
 		const value = encodeMachineTypes(types);
 		store
-			.compareAndSwap([{ key: keys.leader, revision: term }], [{ put: keys.machineTypes, value }], "user")
+			.compareAndSwap(
+				[{ key: keys.leader, revision: revisionOf(term) }],
+				[{ put: keys.machineTypes, value }],
+				"user",
+			)
 			.catch((error) =>
 				post(() => {
 					// The types are too many for one value. Each leader then reads them from the cloud.
--- a/src/coordination/leader-composition.ts
+++ b/src/coordination/leader-composition.ts
@@ -12,6 +12,7 @@
 import { ReplicaRelocation } from "./fleet/replica-relocation.js";
 import { LiveJobs } from "./jobs/live-jobs.js";
 import { Leader, type LeaderComponents } from "./leader.js";
+import { AttemptRangeReservation } from "./leadership/attempt-range-reservation.js";
 import { Failover } from "./leadership/failover.js";
 import { FailureDetector } from "./leadership/failure-detector.js";
 import { FeatureGate } from "./leadership/feature-gate.js";
@@ -229,6 +230,15 @@
 		machineRecords,
 		failover,
 		failureDetector,
+		attemptRange: new AttemptRangeReservation({
+			term,
+			leaderCondition: authority.leaderCondition,
+			store,
+			clock,
+			log,
+			post,
+			onReserved: (index) => clusterState.useReservedAttemptRange(index),
+		}),
 		featureGate: new FeatureGate({ leaderCondition: authority.leaderCondition, store, clock, log, post }),
 		heartbeats,
 		leaseMonitor,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -10,6 +10,7 @@
 import type { Fleet } from "./fleet/fleet.js";
 import type { ReplicaRelocation } from "./fleet/replica-relocation.js";
 import type { LiveJobs } from "./jobs/live-jobs.js";
+import type { AttemptRangeReservation } from "./leadership/attempt-range-reservation.js";
 import type { Failover } from "./leadership/failover.js";
 import type { FailureDetector } from "./leadership/failure-detector.js";
 import type { FeatureGate } from "./leadership/feature-gate.js";
@@ -40,6 +41,7 @@
 	machineRecords: MachineRecords;
 	failover: Failover;
 	failureDetector: FailureDetector;
+	attemptRange: AttemptRangeReservation;
 	featureGate: FeatureGate;
 	heartbeats: HeartbeatService;
 	leaseMonitor: LeaseMonitor;
@@ -117,6 +119,7 @@
 		if (!components.authority.active) return;
 		const now = components.clock.now();
 		components.tickDelay.observe(now);
+		components.attemptRange.tick();
 		components.failover.tick(now, components.tickDelay.overloaded);
 		components.leaseMonitor.tick(now, components.tickDelay.overloaded);
 		components.fleet.tick();
--- a/src/coordination/placement/quota-admission.ts
+++ b/src/coordination/placement/quota-admission.ts
@@ -1,6 +1,7 @@
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Job } from "../../bookkeeping/job.js";
 import { taskDemandOf } from "../../protocol/model/job.js";
+import { compareUint64 } from "../../protocol/model/uint64.js";
 import type { FailureDetector } from "../leadership/failure-detector.js";
 import type { Log } from "../ports/log.js";
 import type { LeaderQuotaPort, TeamQuotaPort } from "../ports/team-quota.js";
@@ -165,7 +166,7 @@
 		const running = [...clusterState.jobs.values()]
 			.filter((job) => job.spec.team === team)
 			.flatMap((job) => [...job.attempts.values()])
-			.sort((a, b) => b.job.priorityRank - a.job.priorityRank || b.number - a.number);
+			.sort((a, b) => b.job.priorityRank - a.job.priorityRank || compareUint64(b.number, a.number));
 		const remainingExcess = { ...excess };
 		const stopped: Attempt[] = [];
 		for (const attempt of running) {
--- a/src/coordination/ports/team-quota.ts
+++ b/src/coordination/ports/team-quota.ts
@@ -1,4 +1,5 @@
 import type { QuotaCharge } from "../../bookkeeping/quota-ledger.js";
+import type { Revision, Term } from "../../protocol/model/identifiers.js";
 import type { TaskDemand } from "../../protocol/model/job.js";
 import type { TeamQuota } from "../../protocol/model/team-quota.js";
 /**
@@ -7,11 +8,11 @@
  */
 export interface TeamQuotaPort {
 	/** Applies a value of the store; undefined: the key was deleted. */
-	applyStoredValue(key: string, value: unknown, revision: number): void;
+	applyStoredValue(key: string, value: unknown, revision: Revision): void;
 	/** Returns the limit and guarantee in effect for the team; null: those of the platform's settings. */
 	effectiveLimits(team: string): TeamQuota | null;
 	/** Applies the allotments that the leader of the term has sent to this controller. */
-	applyAllotmentUpdate(term: number, update: unknown): void;
+	applyAllotmentUpdate(term: Term, update: unknown): void;
 	/** Admits up to `maxCount` tasks with this demand, and returns how many it has admitted. */
 	admit(demand: TaskDemand, maxCount: number): number;
 	/** Withdraws admissions that were made since the last batch was closed. */
@@ -21,7 +22,7 @@
 	/** Returns this controller's reply to the leader's latest allotment update. */
 	reply(): unknown;
 	/** Begins a term in which this controller leads. */
-	beginTerm(term: number): LeaderQuotaPort;
+	beginTerm(term: Term): LeaderQuotaPort;
 }
 /** Checks starts against allotments, and charges each task to the allotment of a controller. */
 export interface AdmissionControl {
--- a/src/coordination/replication/chunk-table.ts
+++ b/src/coordination/replication/chunk-table.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Revision } from "../../protocol/model/identifiers.js";
+import { compareUint64 } from "../../protocol/model/uint64.js";
 import type { StoredChunk } from "../../protocol/records/chunk.js";
 import { entryBytes, RecordChunk } from "./record-chunk.js";
 
@@ -44,7 +45,7 @@
 	/** Loads the chunks of the store. */
 	load(loaded: Iterable<[string, LoadedChunk<V>]>): void {
 		// Two chunks have the same record if a leader ended while it split one: the older copy is removed by a cleanup.
-		const latestFirst = [...loaded].sort((a, b) => b[1].revision - a[1].revision);
+		const latestFirst = [...loaded].sort((a, b) => compareUint64(b[1].revision, a[1].revision));
 		for (const [key, { value, revision }] of latestFirst) {
 			const chunk = this.add(key, revision);
 			for (const [name, entry] of Object.entries(value.entries)) {
--- a/src/coordination/replication/record-chunk.ts
+++ b/src/coordination/replication/record-chunk.ts
@@ -1,6 +1,7 @@
 /** A chunk: one value of the store with many small records, and the state of its writes. */
 
 import type { StoreChange } from "../../protocol/http/store-api.js";
+import { stringifyJson } from "../../protocol/json.js";
 import type { Revision } from "../../protocol/model/identifiers.js";
 import type { StoredChunk } from "../../protocol/records/chunk.js";
 
@@ -9,7 +10,7 @@
 
 /** Returns an upper bound of the bytes that an entry takes in the JSON of its chunk. */
 export function entryBytes(name: string, value: unknown): number {
-	return Buffer.byteLength(name) + Buffer.byteLength(JSON.stringify(value)) + entryOverheadBytes;
+	return Buffer.byteLength(name) + Buffer.byteLength(stringifyJson(value)) + entryOverheadBytes;
 }
 
 /** An entry of a chunk. */
--- a/src/coordination/replication/replica-sync.ts
+++ b/src/coordination/replication/replica-sync.ts
@@ -10,6 +10,7 @@
 import type { StoreReplica } from "../../bookkeeping/store-replica.js";
 import type { StoreEvent, StoreRow } from "../../protocol/http/store-api.js";
 import type { Revision } from "../../protocol/model/identifiers.js";
+import { minUint64 } from "../../protocol/model/uint64.js";
 import { keys } from "../../protocol/records/keys.js";
 import { CallError } from "../ports/call-error.js";
 import type { Clock, Timer } from "../ports/clock.js";
@@ -236,13 +237,13 @@
 		const { replica, store, clock, post } = this.options;
 		const startedAt = clock.now();
 		const rows: StoreRow[] = [];
-		let revision = Number.POSITIVE_INFINITY;
+		let revision: Revision = Number.POSITIVE_INFINITY;
 		// One at a time, machines last: a burst of calls would exhaust a starting controller's share of the request rate.
 		for (const prefix of [keys.singletons, keys.jobs, keys.progress, keys.quota, keys.machines]) {
 			for await (const page of store.readPages(prefix)) {
 				for (const row of page.rows) rows.push(withSharedTexts(row));
 				// Later pages may contain later changes. The watch repeats the changes after the lowest revision.
-				revision = Math.min(revision, page.revision);
+				revision = minUint64(revision, page.revision);
 			}
 		}
 		await new Promise<void>((resolve) =>
--- a/src/coordination/state/assignment-rules.ts
+++ b/src/coordination/state/assignment-rules.ts
@@ -11,6 +11,7 @@
 export type AssignmentRefusal =
 	| "cluster not reconciled"
 	| "job ended"
+	| "no attempt numbers yet"
 	| "attempt numbers exhausted"
 	| "machine not schedulable"
 	| "machine reserved"
@@ -25,6 +26,8 @@
 export interface AssignmentReadiness {
 	/** True if all tasks of earlier leaders are known. */
 	readonly reconciled: boolean;
+	/** True if the range of the term's attempt numbers is known. */
+	readonly attemptNumbersAvailable: boolean;
 	/** True if the attempt numbers of the term are used up. */
 	readonly attemptNumbersExhausted: boolean;
 }
@@ -56,6 +59,8 @@
 		// A task of a cancelled job would run for longer than `cancel_s` ("the end of a job ends its assigned attempts…" in
 		// tests/coordination/workers/worker-commands.test.ts; traces 07, 08).
 		if (job.ended || job.finalizing) return "job ended";
+		// Numbers from no range could be smaller than those of an earlier term (tests/service/large-counters.test.ts).
+		if (!this.readiness.attemptNumbersAvailable) return "no attempt numbers yet";
 		// If a number were used twice, a late heartbeat could be attributed to the wrong attempt. The leader resigns.
 		if (this.readiness.attemptNumbersExhausted) return "attempt numbers exhausted";
 		return null;
--- a/src/coordination/state/cluster-state.ts
+++ b/src/coordination/state/cluster-state.ts
@@ -4,7 +4,14 @@
 import { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import { QuotaLedger } from "../../bookkeeping/quota-ledger.js";
-import type { JobId, MachineId, NodeId, Revision, Term } from "../../protocol/model/identifiers.js";
+import type {
+	AttemptNumber,
+	JobId,
+	MachineId,
+	NodeId,
+	Revision,
+	Term,
+} from "../../protocol/model/identifiers.js";
 import type { JobSpec, TaskDemand } from "../../protocol/model/job.js";
 import { taskDemandOf } from "../../protocol/model/job.js";
 import type { MachineType } from "../../protocol/model/machine.js";
@@ -253,6 +260,17 @@
 
 	// --- attempts ---
 
+	/** True if the range of the term's attempt numbers is known. No task starts before. */
+	get attemptNumbersAvailable(): boolean {
+		return this.#attemptNumbers.available;
+	}
+
+	/** Sets the range of attempt numbers that the leader has reserved, by its index. */
+	useReservedAttemptRange(index: number): void {
+		this.#attemptNumbers.useReservedRange(index);
+		this.requestPlacement();
+	}
+
 	/** True if the attempt numbers of the term are used up: the leader must resign. */
 	get attemptNumbersExhausted(): boolean {
 		return this.#attemptNumbers.exhausted;
@@ -291,7 +309,7 @@
 	}
 
 	/** Adds an attempt of an earlier leader that a worker has listed, even if it violates the rules for starts. */
-	adoptAttempt(job: Job, taskIndex: number, number: number, machine: Machine): Attempt {
+	adoptAttempt(job: Job, taskIndex: number, number: AttemptNumber, machine: Machine): Attempt {
 		const attempt = new Attempt({ job, taskIndex, number, machine, phase: "sent" });
 		attempt.setCharge(this.#accounting.allocateUnattributed(job.spec));
 		this.register(attempt);
--- a/src/protocol/http/store-api.ts
+++ b/src/protocol/http/store-api.ts
@@ -20,7 +20,8 @@
 
 import * as v from "valibot";
 import type { LeaseId, Revision } from "../model/identifiers.js";
-import { checkShape, name, nonNegativeInteger, orNull } from "../schema-checks.js";
+import { uint64 } from "../model/uint64-schema.js";
+import { checkShape, name, orNull } from "../schema-checks.js";
 import { paths } from "./paths.js";
 
 /** A key of the store with its value. */
@@ -53,7 +54,7 @@
 	return `${paths.store}/${key}`;
 }
 
-const RowBody = v.object({ key: name, v: v.unknown(), stamp: nonNegativeInteger });
+const RowBody = v.object({ key: name, v: v.unknown(), stamp: uint64 });
 
 /** Parses a row. */
 export function parseRow(raw: unknown): StoreRow {
@@ -77,7 +78,7 @@
 const RowsBody = v.object({
 	rows: v.array(RowBody),
 	truncated: orNull(v.boolean()),
-	epoch: nonNegativeInteger,
+	epoch: uint64,
 });
 
 /** Parses a page of rows, with a flag for further rows and the store revision that the page shows. */
@@ -103,14 +104,14 @@
 	return change.leaseId === undefined ? put : { ...put, permit: change.leaseId };
 }
 
-const RevisionBody = v.object({ epoch: nonNegativeInteger });
+const RevisionBody = v.object({ epoch: uint64 });
 
 /** Parses a response that contains only a revision. */
 export function parseRevision(raw: unknown): Revision {
 	return checkShape(RevisionBody, raw).epoch;
 }
 
-const ConflictsBody = v.object({ failed: v.array(v.string()), epoch: nonNegativeInteger });
+const ConflictsBody = v.object({ failed: v.array(v.string()), epoch: uint64 });
 
 /** Parses the keys whose conditions did not hold, and the revision at which they were checked. */
 export function parseConflicts(raw: unknown): { conflicts: string[]; revision: Revision } {
@@ -123,7 +124,7 @@
 	return { ttl_ms: ttlMs };
 }
 
-const LeaseBody = v.object({ permit: nonNegativeInteger });
+const LeaseBody = v.object({ permit: uint64 });
 
 /** Parses the id of a granted lease. */
 export function parseLeaseId(raw: unknown): LeaseId {
@@ -153,10 +154,10 @@
 	return `${paths.watch}?prefix=${prefix}&from=${afterRevision}&block_ms=${waitMs}`;
 }
 
-const PutEventBody = v.object({ put: name, v: v.unknown(), stamp: nonNegativeInteger });
-const DropEventBody = v.object({ drop: name, stamp: nonNegativeInteger });
+const PutEventBody = v.object({ put: name, v: v.unknown(), stamp: uint64 });
+const DropEventBody = v.object({ drop: name, stamp: uint64 });
 const EventsBody = v.object({
-	epoch: nonNegativeInteger,
+	epoch: uint64,
 	events: v.array(v.union([PutEventBody, DropEventBody])),
 });
 
--- a/src/protocol/http/worker-api.ts
+++ b/src/protocol/http/worker-api.ts
@@ -22,7 +22,9 @@
  */
 
 import { MalformedMessageError } from "../errors.js";
+import { parseExactJson } from "../json.js";
 import type { AgentEpoch, FencingToken, JobId, NodeId } from "../model/identifiers.js";
+import { toUint64, type Uint64 } from "../model/uint64.js";
 import type { ExitCause, TaskState, TaskStatus, WorkerCommand, WorkerHeartbeat } from "../model/worker.js";
 import { parseObject } from "../schema-checks.js";
 
@@ -52,7 +54,21 @@
  * code therefore checks only the fields that are used, at a fraction of a schema's CPU time.
  */
 export function parseHeartbeat(body: string): WorkerHeartbeat {
-	return readHeartbeat(parseObject(body));
+	const raw = parseObject(body);
+	return readHeartbeat(hasRoundedInteger(raw) ? parseObject(body, parseExactJson) : raw);
+}
+
+/**
+ * True if an integer of the heartbeat may have been rounded by the parser of the standard library. Such integers are
+ * rare, and the check takes a small fraction of the time that the exact parser takes.
+ */
+function hasRoundedInteger({ shift, tick, baton, pieces }: Record<string, unknown>): boolean {
+	if (isRounded(shift) || isRounded(tick) || isRounded(baton)) return true;
+	return Array.isArray(pieces) && pieces.some((piece) => isRounded(piece?.try));
+}
+
+function isRounded(value: unknown): boolean {
+	return typeof value === "number" && value > Number.MAX_SAFE_INTEGER;
 }
 
 /** Parses the response to direct commands, which is the worker's heartbeat after their execution. */
@@ -77,11 +93,10 @@
 	};
 }
 
-function readCount(value: unknown, field: string): number {
-	if (typeof value !== "number" || !Number.isSafeInteger(value) || value < 0) {
-		throw new MalformedMessageError(`field "${field}" must be a whole number`);
-	}
-	return value;
+function readCount(value: unknown, field: string): Uint64 {
+	const count = toUint64(value);
+	if (count === null) throw new MalformedMessageError(`field "${field}" must be a whole number`);
+	return count;
 }
 
 function readText(value: unknown, field: string): string {
--- a/src/protocol/model/worker.ts
+++ b/src/protocol/model/worker.ts
@@ -2,7 +2,9 @@
 
 import {
 	type AgentEpoch,
+	type AttemptNumber,
 	type FencingToken,
+	type HeartbeatSequence,
 	type JobId,
 	type MachineId,
 	type TaskId,
@@ -23,8 +25,7 @@
 export interface AttemptRef {
 	jobId: JobId;
 	taskIndex: number;
-	/** The attempt number; later attempts at a task have larger numbers. */
-	attempt: number;
+	attempt: AttemptNumber;
 }
 
 /** The state of an attempt in a heartbeat. */
@@ -45,8 +46,7 @@
 	zone: string;
 	spot: boolean;
 	agentEpoch: AgentEpoch;
-	/** Orders the worker's messages within an agent epoch: a message with a larger number is newer. */
-	sequence: number;
+	sequence: HeartbeatSequence;
 	/** The highest fencing token that the worker has received. */
 	fencingToken: FencingToken;
 	/** Seconds until the cloud reclaims a spot machine; null: the cloud has given no notice. */
--- a/src/protocol/peer/forwarding-wire.ts
+++ b/src/protocol/peer/forwarding-wire.ts
@@ -6,6 +6,8 @@
  */
 
 import * as v from "valibot";
+import type { AgentEpoch, AttemptNumber, FencingToken, HeartbeatSequence } from "../model/identifiers.js";
+import { toUint64, toUint64OrRounded, type Uint64 } from "../model/uint64.js";
 import type { ExitCause, TaskState, TaskStatus, WorkerCommand, WorkerHeartbeat } from "../model/worker.js";
 import { nonNegativeInteger } from "../schema-checks.js";
 import type { ForwardedHeartbeats, ForwardedResponses } from "./messages.js";
@@ -17,9 +19,9 @@
 	machineType: string,
 	zone: string,
 	spot: boolean,
-	agentEpoch: number,
-	sequence: number,
-	fencingToken: number,
+	agentEpoch: AgentEpoch,
+	sequence: HeartbeatSequence,
+	fencingToken: FencingToken,
 	reclaimInS: number | null,
 	tasks: TaskRow[],
 ];
@@ -27,7 +29,7 @@
 type TaskRow = [
 	jobId: string,
 	taskIndex: number,
-	attempt: number,
+	attempt: AttemptNumber,
 	state: number,
 	exitCause: number,
 	checkpointed: boolean,
@@ -35,8 +37,8 @@
 
 /** A command to a worker on the wire between controllers. */
 type WireCommand =
-	| { op: "start" | "forget"; job: string; index: number; attempt: number }
-	| { op: "stop"; job: string; index: number; attempt: number; graceS: number };
+	| { op: "start" | "forget"; job: string; index: number; attempt: AttemptNumber }
+	| { op: "stop"; job: string; index: number; attempt: AttemptNumber; graceS: number };
 
 /**
  * On the wire, states and causes are encoded as indexes into these lists. Versions in production rely on this
@@ -55,7 +57,7 @@
 	return {
 		jobId,
 		taskIndex,
-		attempt,
+		attempt: decodeAttempt(attempt),
 		state: states[state] as TaskState,
 		exitCause: exitCauses[cause] ?? null,
 		checkpointed,
@@ -98,9 +100,9 @@
 		machineType,
 		zone,
 		spot,
-		agentEpoch,
-		sequence,
-		fencingToken,
+		agentEpoch: decodeUint64(agentEpoch),
+		sequence: decodeUint64(sequence),
+		fencingToken: decodeUint64(fencingToken),
 		reclaimInS,
 		tasks: tasks.map(decodeTask),
 	};
@@ -113,13 +115,26 @@
 }
 
 function decodeCommand(wire: WireCommand): WorkerCommand {
-	const { op, job, index, attempt } = wire;
+	const { op, job, index } = wire;
+	const attempt = decodeAttempt(wire.attempt);
 	if (op !== "stop") return { kind: op, jobId: job, taskIndex: index, attempt };
 	return { kind: op, jobId: job, taskIndex: index, attempt, graceS: wire.graceS };
 }
 
 const isText = (value: unknown): boolean => typeof value === "string" && value !== "";
 const isCount = (value: unknown): boolean => Number.isSafeInteger(value) && (value as number) >= 0;
+const isUint64 = (value: unknown): boolean => toUint64(value) !== null;
+const isAttempt = (value: unknown): boolean => toUint64OrRounded(value) !== null;
+
+/** Returns a checked integer in its one form. */
+function decodeUint64(value: Uint64): Uint64 {
+	return toUint64(value) ?? value;
+}
+
+/** Returns a checked attempt number in its one form. */
+function decodeAttempt(value: AttemptNumber): AttemptNumber {
+	return toUint64OrRounded(value) ?? value;
+}
 
 function isTaskRow(raw: unknown): boolean {
 	if (!Array.isArray(raw)) return false;
@@ -127,7 +142,7 @@
 	return (
 		isText(jobId) &&
 		isCount(taskIndex) &&
-		isCount(attempt) &&
+		isAttempt(attempt) &&
 		states[state] !== undefined &&
 		Number.isInteger(cause) &&
 		typeof checkpointed === "boolean"
@@ -151,7 +166,7 @@
 	return (
 		[machineId, endpoint, machineType, zone].every(isText) &&
 		typeof spot === "boolean" &&
-		[agentEpoch, sequence, fencingToken].every(isCount) &&
+		[agentEpoch, sequence, fencingToken].every(isUint64) &&
 		(reclaimInS === null || Number.isFinite(reclaimInS)) &&
 		Array.isArray(tasks) &&
 		tasks.every(isTaskRow)
@@ -161,7 +176,7 @@
 function isWireCommand(raw: unknown): raw is WireCommand {
 	if (typeof raw !== "object" || raw === null) return false;
 	const command = raw as Record<string, unknown>;
-	if (!isText(command.job) || !isCount(command.index) || !isCount(command.attempt)) return false;
+	if (!isText(command.job) || !isCount(command.index) || !isAttempt(command.attempt)) return false;
 	if (command.op === "stop") return Number.isFinite(command.graceS);
 	return command.op === "start" || command.op === "forget";
 }
--- a/src/protocol/peer/leadership-wire.ts
+++ b/src/protocol/peer/leadership-wire.ts
@@ -4,6 +4,7 @@
  */
 
 import * as v from "valibot";
+import { uint64 } from "../model/uint64-schema.js";
 import { name, nonNegativeInteger } from "../schema-checks.js";
 import type {
 	Cancellation,
@@ -19,10 +20,10 @@
 	kind: v.literal("ask"),
 	epoch: term,
 	number: nonNegativeInteger,
-	known: v.optional(v.pipe(v.number(), v.integer())),
+	known: v.optional(uint64),
 });
 
-const CancellationSchema = v.tuple([name, nonNegativeInteger, nonNegativeInteger, nonNegativeInteger]);
+const CancellationSchema = v.tuple([name, uint64, nonNegativeInteger, nonNegativeInteger]);
 
 /** A lease extension vote on the wire. */
 export const LeaseExtensionVoteSchema = v.object({
--- a/src/protocol/peer/wire-fields.ts
+++ b/src/protocol/peer/wire-fields.ts
@@ -2,9 +2,10 @@
 
 import * as v from "valibot";
 import type { Incarnation } from "../model/identifiers.js";
+import { uint64 } from "../model/uint64-schema.js";
 
 /** A term. Its historic name on the wire is `epoch`. */
-export const term = v.pipe(v.number(), v.integer());
+export const term = uint64;
 
 /** A string of at most 1000 characters. */
 export const shortText = v.pipe(v.string(), v.maxLength(1000));
--- a/src/protocol/records/keys.ts
+++ b/src/protocol/records/keys.ts
@@ -19,6 +19,8 @@
 	machineTypes: "r/one/types",
 	/** The features that every controller has reported as supported. */
 	features: "r/one/able",
+	/** The number of reserved ranges of attempt numbers; versions up to 0.8.0 ignore it. */
+	attemptRanges: "r/one/attempts",
 	/** Prefix of singleton records. */
 	singletons: "r/one/",
 	/** Prefix of the records of live jobs. */
--- a/src/protocol/records/machine-record.ts
+++ b/src/protocol/records/machine-record.ts
@@ -2,7 +2,8 @@
 
 import * as v from "valibot";
 import type { AgentEpoch } from "../model/identifiers.js";
-import { boolean, nonNegativeInteger } from "../schema-checks.js";
+import { uint64 } from "../model/uint64-schema.js";
+import { boolean } from "../schema-checks.js";
 
 /** The data that a later leader needs about a machine that may run tasks. */
 export interface MachineRecord {
@@ -20,7 +21,7 @@
 	type: v.string(),
 	zone: v.string(),
 	spot: boolean,
-	session: nonNegativeInteger,
+	session: uint64,
 });
 
 /** The stored form of a machine's record. */
--- a/src/protocol/records/singleton-records.ts
+++ b/src/protocol/records/singleton-records.ts
@@ -3,7 +3,7 @@
 import * as v from "valibot";
 import type { Incarnation, NodeId } from "../model/identifiers.js";
 import type { MachineType } from "../model/machine.js";
-import { checkShape, name, nonNegative } from "../schema-checks.js";
+import { checkShape, name, nonNegative, nonNegativeInteger } from "../schema-checks.js";
 
 /** The value of the leader key. */
 export interface LeaderRecord {
@@ -62,6 +62,27 @@
 	return { serviceJobs: standing === true, teamQuota: quota === true, unknownFields };
 }
 
+/** The ranges of attempt numbers that leaders have reserved; terms from 2^41 on need one. */
+export interface AttemptRanges {
+	/** Number of reserved ranges, which is the index of the next one. */
+	reserved: number;
+}
+
+const StoredAttemptRangesSchema = v.looseObject({ ranges: nonNegativeInteger });
+
+/** The stored form of the reserved ranges. */
+export type StoredAttemptRanges = v.InferOutput<typeof StoredAttemptRangesSchema>;
+
+/** Encodes the reserved ranges in their stored form. */
+export function encodeAttemptRanges({ reserved }: AttemptRanges): StoredAttemptRanges {
+	return { ranges: reserved };
+}
+
+/** Decodes the stored ranges. Throws a MalformedMessageError that names the first invalid field. */
+export function decodeAttemptRanges(value: unknown): AttemptRanges {
+	return { reserved: checkShape(StoredAttemptRangesSchema, value).ranges };
+}
+
 /** The stored form of the machine types; the fields of a type are stored under their own names. */
 export interface StoredMachineTypes {
 	types: MachineType[];
--- a/src/protocol/schema-checks.ts
+++ b/src/protocol/schema-checks.ts
@@ -8,7 +8,10 @@
 
 const maxNameLength = 200;
 
-const finite = v.pipe(v.number("must be a number"), v.finite("must be finite"));
+/** A decimal number. Exactly parsed JSON has a bigint for one that is written as a large integer. */
+const decimal = v.union([v.number(), v.pipe(v.bigint(), v.transform(Number))], "must be a number");
+
+const finite = v.pipe(decimal, v.finite("must be finite"));
 
 /** A finite number above 0. */
 export const positive = v.pipe(finite, v.gtValue(0, "must be above 0"));
@@ -51,11 +54,18 @@
 	return result.output;
 }
 
-/** Parses a JSON object. Throws a MalformedMessageError for any other text. */
-export function parseObject(body: string): Record<string, unknown> {
+/**
+ * Parses a JSON object. Throws a MalformedMessageError for any other text.
+ *
+ * @param parse The parser; by default the standard library's, which rounds integers above 2^53 - 1.
+ */
+export function parseObject(
+	body: string,
+	parse: (text: string) => unknown = JSON.parse,
+): Record<string, unknown> {
 	let raw: unknown;
 	try {
-		raw = JSON.parse(body);
+		raw = parse(body);
 	} catch (error) {
 		throw new MalformedMessageError("the body is not JSON", { cause: error });
 	}
--- a/src/transport/clients/http-exchange.ts
+++ b/src/transport/clients/http-exchange.ts
@@ -3,6 +3,7 @@
 import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { Socket } from "node:net";
 import { CallError, type CallOutcome } from "../../coordination/ports/call-error.js";
+import { parseJson, stringifyJson } from "../../protocol/json.js";
 import type { HostAndPort } from "../address.js";
 import type { HttpResponse } from "./http-response.js";
 import { ResponseDeadline } from "./response-deadline.js";
@@ -55,7 +56,7 @@
 			this.reject = reject;
 		});
 		const { method, path, body, timeoutMs } = httpRequest;
-		const payload = body === undefined ? undefined : JSON.stringify(body);
+		const payload = body === undefined ? undefined : stringifyJson(body);
 		const { target, agent } = options;
 		this.clientRequest = request({ ...target, method, path, headers: headersOf(payload), agent });
 		this.clientRequest.on("socket", (socket) => this.trackConnection(socket));
@@ -93,7 +94,7 @@
 	private complete(status: number, text: string): void {
 		if (!this.settle()) return;
 		try {
-			this.resolve({ status, body: text === "" ? null : JSON.parse(text) });
+			this.resolve({ status, body: text === "" ? null : parseJson(text) });
 		} catch (error) {
 			this.reject(this.callError("unknown", status, "the response is not JSON", error));
 		}
--- a/src/transport/public/heartbeat-listener.ts
+++ b/src/transport/public/heartbeat-listener.ts
@@ -5,6 +5,7 @@
 import { MalformedMessageError } from "../../protocol/errors.js";
 import { paths } from "../../protocol/http/paths.js";
 import { heartbeatResponseBody, parseHeartbeat, redirectBody } from "../../protocol/http/worker-api.js";
+import { stringifyJson } from "../../protocol/json.js";
 import type { PublicService } from "./public-service.js";
 import { bodyTooLargeMessage, maxBodyBytes } from "./request-body.js";
 
@@ -77,7 +78,7 @@
 		// A body that is too large gets only one response, and the worker may close its connection before the
 		// response is ready.
 		if (response.headersSent || response.destroyed) return;
-		const text = JSON.stringify(body);
+		const text = stringifyJson(body);
 		response.writeHead(status, {
 			"content-type": "application/json",
 			"content-length": Buffer.byteLength(text),
--- a/tests/coordination/replication/chunked-records.test.ts
+++ b/tests/coordination/replication/chunked-records.test.ts
@@ -4,6 +4,7 @@
 import { CallError } from "../../../src/coordination/ports/call-error.js";
 import { ChunkedRecords } from "../../../src/coordination/replication/chunked-records.js";
 import { compareAndSwapBody } from "../../../src/protocol/http/store-api.js";
+import { compareUint64 } from "../../../src/protocol/model/uint64.js";
 import { keys } from "../../../src/protocol/records/keys.js";
 import type { HttpResponse } from "../../../src/transport/clients/http-response.js";
 import { StoreClient } from "../../../src/transport/clients/store-client.js";
@@ -113,7 +114,7 @@
 function readAllEntries(service: StateService): Map<string, string> {
 	const rows = [...service.rows]
 		.filter(([key]) => key.startsWith("r/x/"))
-		.sort((a, b) => a[1].stamp - b[1].stamp);
+		.sort((a, b) => compareUint64(a[1].stamp, b[1].stamp));
 	return new Map(
 		rows.flatMap(([, row]) => Object.entries((row.v as { entries: Record<string, string> }).entries)),
 	);
--- a/tests/coordination/state/assignment-rules.test.ts
+++ b/tests/coordination/state/assignment-rules.test.ts
@@ -5,6 +5,7 @@
 import type { AdmissionControl } from "../../../src/coordination/ports/team-quota.js";
 import type { AssignmentRefusal } from "../../../src/coordination/state/assignment-rules.js";
 import type { ClusterState } from "../../../src/coordination/state/cluster-state.js";
+import type { Term } from "../../../src/protocol/model/identifiers.js";
 import type { JobSpec } from "../../../src/protocol/model/job.js";
 import { jobOf } from "../../support/machines.js";
 import { clusterStateWith } from "../../support/small-cluster.js";
@@ -20,8 +21,8 @@
 }
 
 /** Creates two machines with four CPUs each and a job of team red, whose limit is eight CPUs. */
-function setUp(specOverrides: Partial<JobSpec> = {}): Setup {
-	const clusterState = clusterStateWith(2);
+function setUp(specOverrides: Partial<JobSpec> = {}, term: Term = 7): Setup {
+	const clusterState = clusterStateWith(2, 8, term);
 	const [machine, other] = [...clusterState.machines.values()] as [Machine, Machine];
 	const job = clusterState.addJob("j-1", specOf("j-1", specOverrides), 0, 1);
 	job.resetWaitingTasks();
@@ -166,4 +167,12 @@
 		machine.health.startProbation(0);
 		assert.equal(clusterState.assignmentRefusal(job, machine), null);
 	});
+
+	test("in a term from 2^41 on, once the leader has reserved a range of attempt numbers", () => {
+		const { clusterState, machine, job } = setUp({}, 2 ** 41);
+		assert.equal(clusterState.assignmentRefusal(job, machine), "no attempt numbers yet");
+		assert.equal(clusterState.assignNextTask(job, machine), null);
+		clusterState.useReservedAttemptRange(1);
+		assert.equal(clusterState.assignNextTask(job, machine)?.number, 2n ** 63n + 2n ** 22n + 1n);
+	});
 });
--- a/tests/coordination/state/cluster-state.test.ts
+++ b/tests/coordination/state/cluster-state.test.ts
@@ -6,6 +6,7 @@
 import type { Job } from "../../../src/bookkeeping/job.js";
 import type { Machine } from "../../../src/bookkeeping/machine.js";
 import type { ClusterState } from "../../../src/coordination/state/cluster-state.js";
+import type { AttemptNumber } from "../../../src/protocol/model/identifiers.js";
 import { clusterStateWith } from "../../support/small-cluster.js";
 import { specOf } from "../../support/specs.js";
 
@@ -32,7 +33,7 @@
 	for (const machine of clusterState.machines.values()) assert.ok(machine.capacity.freeCpus >= -1e-9);
 }
 
-function assertNewNumber({ number }: Attempt, usedNumbers: Set<number>): void {
+function assertNewNumber({ number }: Attempt, usedNumbers: Set<AttemptNumber>): void {
 	assert.ok(!usedNumbers.has(number), "attempt numbers are unique");
 	assert.ok(Number.isSafeInteger(number));
 	usedNumbers.add(number);
@@ -50,7 +51,7 @@
 					team: i % 2 ? "red" : "blue",
 				}),
 			);
-			const usedNumbers = new Set<number>();
+			const usedNumbers = new Set<AttemptNumber>();
 			const endAttempt = (attempt: Attempt, done: boolean) => {
 				if (done) clusterState.markTaskDone(attempt.job, attempt.taskIndex);
 				clusterState.endAttempt(attempt);
--- a/tests/coordination/workers/heartbeat-router.test.ts
+++ b/tests/coordination/workers/heartbeat-router.test.ts
@@ -5,6 +5,7 @@
 	type HeartbeatResponse,
 	HeartbeatRouter,
 } from "../../../src/coordination/workers/heartbeat-router.js";
+import type { Term } from "../../../src/protocol/model/identifiers.js";
 import type { WorkerCommand } from "../../../src/protocol/model/worker.js";
 import type { LeaderHeartbeat, PeerMessage } from "../../../src/protocol/peer/messages.js";
 import { FakeTime } from "../../support/fake-time.js";
@@ -18,7 +19,7 @@
 class Setup {
 	readonly clock = new FakeTime();
 	readonly sent: PeerMessage[] = [];
-	readonly misdirectedReports: [leader: string, term: number][] = [];
+	readonly misdirectedReports: [leader: string, term: Term][] = [];
 	active: ActiveLeader | null = null;
 	leaderInStore: string | null = null;
 	readonly router = new HeartbeatRouter({
--- a/tests/coordination/workers/heartbeat-service.test.ts
+++ b/tests/coordination/workers/heartbeat-service.test.ts
@@ -6,6 +6,7 @@
 import { FaultAttribution } from "../../../src/coordination/workers/fault-attribution.js";
 import { HeartbeatService } from "../../../src/coordination/workers/heartbeat-service.js";
 import { OrphanCleanup } from "../../../src/coordination/workers/orphan-cleanup.js";
+import type { AttemptNumber } from "../../../src/protocol/model/identifiers.js";
 import type { WorkerCommand, WorkerHeartbeat } from "../../../src/protocol/model/worker.js";
 import { FakeTime } from "../../support/fake-time.js";
 import { heartbeat, stateWithJob, taskStatus, term } from "../../support/reconciliation-setup.js";
@@ -81,7 +82,7 @@
 	}
 
 	/** Assigns the job's next task to the machine and returns the attempt number. */
-	assign(machine: Machine): number {
+	assign(machine: Machine): AttemptNumber {
 		const attempt = this.clusterState.assignNextTask(this.job, machine);
 		assert.ok(attempt);
 		this.service.onAssigned(attempt);
--- a/tests/support/leadership-candidate.ts
+++ b/tests/support/leadership-candidate.ts
@@ -2,6 +2,7 @@
 import { Leadership } from "../../src/coordination/leadership/leadership.js";
 import { CallError } from "../../src/coordination/ports/call-error.js";
 import type { KeyValueStore } from "../../src/coordination/ports/store.js";
+import type { Term } from "../../src/protocol/model/identifiers.js";
 import type { Cancellation, PeerMessage } from "../../src/protocol/peer/messages.js";
 import { StoreClient } from "../../src/transport/clients/store-client.js";
 import { FakeTime } from "./fake-time.js";
@@ -19,7 +20,7 @@
 	const time = state.time;
 	const service = state.service ?? new StateService(time);
 	const sentMessages: PeerMessage[] = [];
-	const wonTerms: number[] = [];
+	const wonTerms: Term[] = [];
 	const resignationReasons: string[] = [];
 	const recordedCancellations: string[] = [];
 	/** The store replica: synced up to now while the store is available, unless the watch has stalled. */
@@ -95,7 +96,7 @@
 export async function electedInOutage(c: ReturnType<typeof candidate>) {
 	c.leadership.endStartupHoldoff();
 	await c.run(500);
-	const term = c.wonTerms[0] as number;
+	const term = c.wonTerms[0] as Term;
 	assert.equal(c.leadership.authorizedTerm(), term);
 	c.service.setOutage(true);
 	const vote = async (ms: number, votes: Record<string, Cancellation[] | undefined>) => {
--- a/tests/support/machines.ts
+++ b/tests/support/machines.ts
@@ -33,7 +33,7 @@
 		zone: machine.zone,
 		spot: machine.spot,
 		agentEpoch: 1,
-		sequence: machine.agent.sequence + 1,
+		sequence: Number(machine.agent.sequence) + 1,
 		fencingToken: 0,
 		reclaimInS: null,
 		tasks: [],
--- a/tests/support/network.ts
+++ b/tests/support/network.ts
@@ -1,4 +1,5 @@
 import { CallError, type CallOutcome } from "../../src/coordination/ports/call-error.js";
+import { parseJson, stringifyJson } from "../../src/protocol/json.js";
 import type { HttpCaller } from "../../src/transport/clients/http-client.js";
 import type { HttpResponse } from "../../src/transport/clients/http-response.js";
 import type { FakeTime } from "./fake-time.js";
@@ -69,7 +70,7 @@
 		if (path === "/commands" && commandCount > 0 && this.directCommandDelayMs > 0)
 			fault.delayMs ??= this.directCommandDelayMs;
 		const responseDelayMs = to === "state" ? this.storeDelayMs : 0;
-		const receivedBody = body === undefined ? undefined : JSON.parse(JSON.stringify(body));
+		const receivedBody = body === undefined ? undefined : parseJson(stringifyJson(body));
 		return new Promise((resolve, reject) => {
 			const fail = (outcome: CallOutcome, reason: string) =>
 				reject(new CallError(outcome, 0, `${method} ${path}: ${reason}`));
@@ -83,7 +84,7 @@
 				if (this.down.has(to)) return;
 				const response = await handler(method, path, receivedBody, from);
 				if (fault.dropResponse || this.down.has(from)) return;
-				const receivedResponse = JSON.parse(JSON.stringify(response)) as HttpResponse;
+				const receivedResponse = parseJson(stringifyJson(response)) as HttpResponse;
 				this.time.after(this.latencyMs + responseDelayMs, () => resolve(receivedResponse));
 			});
 		});
--- a/tests/support/quota-node.ts
+++ b/tests/support/quota-node.ts
@@ -3,9 +3,11 @@
  * and links to the other controllers, and only team quota enforces limits. The parent process acts as the
  * workers.
  */
+
 import { type AllotmentManager, type Amount, QuotaParticipant } from "#team-quota";
 import { Leadership } from "../../src/coordination/leadership/leadership.js";
 import type { Clock } from "../../src/coordination/ports/clock.js";
+import type { Uint64 } from "../../src/protocol/model/uint64.js";
 import { decodePeerMessage, encodePeerMessage } from "../../src/protocol/peer/codec.js";
 import type { LeadershipMessage } from "../../src/protocol/peer/messages.js";
 import { quotaStore } from "../../src/team-quota.js";
@@ -40,17 +42,17 @@
 	| { kind: "void"; ids: string[]; at: number }
 	| { kind: "waited"; ms: number }
 	| { kind: "refused"; team: string; size: Amount; at: number }
-	| { kind: "start"; term: number; task: QuotaTask }
-	| { kind: "leads"; term: number; at: number };
+	| { kind: "start"; term: Uint64; task: QuotaTask }
+	| { kind: "leads"; term: Uint64; at: number };
 export type ParentMessage =
 	| { kind: "ended"; id: string }
-	| { kind: "running"; term: number; tasks: QuotaTask[] }
+	| { kind: "running"; term: Uint64; tasks: QuotaTask[] }
 	/** The admission has to start at the time `at` of the host's clock, which all nodes share. */
 	| { kind: "admit"; team: string; size: Amount; runMs: number; at: number };
 
 type QuotaPeerMessage =
-	| { kind: "terms"; epoch: number; terms: unknown }
-	| { kind: "propose"; epoch: number; reply: unknown; tasks: QuotaTask[] };
+	| { kind: "terms"; epoch: Uint64; terms: unknown }
+	| { kind: "propose"; epoch: Uint64; reply: unknown; tasks: QuotaTask[] };
 
 /** Returns the host's monotonic time in milliseconds, the same for all processes on the host. */
 export function hostClockMs(): number {
@@ -65,9 +67,9 @@
 	private manager: AllotmentManager | null = null;
 	private readonly charges = new Map<string, ReturnType<AllotmentManager["chargeUnattributed"]>>();
 	private readonly sentBatches = new Map<string, number>();
-	private term = 0;
+	private term: Uint64 = 0;
 	private leaderNode = "";
-	private leader: { value: { node: string; incarnation: string }; revision: number } | null = null;
+	private leader: { value: { node: string; incarnation: string }; revision: Uint64 } | null = null;
 	private storeLoaded = false;
 	private requestedTasks = 0;
 	private readonly waitingSince = new Map<string, number>();
@@ -161,7 +163,7 @@
 		}
 	}
 
-	private applyStoredValue(key: string, value: unknown, revision: number): void {
+	private applyStoredValue(key: string, value: unknown, revision: Uint64): void {
 		if (key.startsWith("r/quota/")) this.participant.applyStoredValue(key, value, revision);
 		if (key !== "r/one/leader") return;
 		this.leader =
@@ -185,7 +187,7 @@
 		if (this.config.generatesLoad) for (let i = 0; i < 3; i++) this.admitRandomTask();
 	}
 
-	private runLeaderTick(manager: AllotmentManager, term: number): void {
+	private runLeaderTick(manager: AllotmentManager, term: Uint64): void {
 		manager.tick();
 		for (const other of this.config.others) {
 			const update = manager.nextUpdate(other.node);
@@ -242,14 +244,14 @@
 		return limit !== undefined && used.cpus + size.cpus <= limit.cpus && used.gpus + size.gpus <= limit.gpus;
 	}
 
-	private startTask(manager: AllotmentManager, term: number, node: string, task: QuotaTask): void {
+	private startTask(manager: AllotmentManager, term: Uint64, node: string, task: QuotaTask): void {
 		this.charges.set(task.id, manager.charges.add(task.team, node, task.size));
 		this.sendToParent({ kind: "start", term, task });
 	}
 
 	// --- as a holder ---
 
-	private applyAllotmentUpdate(term: number, update: unknown): void {
+	private applyAllotmentUpdate(term: Uint64, update: unknown): void {
 		this.participant.applyAllotmentUpdate(term, update);
 		const { settledBatch, incarnation } = update as { settledBatch: number; incarnation: string };
 		if (incarnation !== this.config.incarnation || term < this.term) return;
--- a/tests/support/quota-process-history.ts
+++ b/tests/support/quota-process-history.ts
@@ -1,4 +1,5 @@
 import type { History } from "../../packages/team-quota/tests/support/history.js";
+import { maxUint64, type Uint64 } from "../../src/protocol/model/uint64.js";
 import type { QuotaTask } from "./quota-node.js";
 
 interface RunningTask {
@@ -18,12 +19,12 @@
 	private readonly refusals: History["refusals"] = [];
 	private readonly limitChanges: History["limitChanges"] = [];
 	/** The latest term of which a leader has reported to the workers. */
-	private term = 0;
+	private term: Uint64 = 0;
 
 	constructor(private readonly now: () => number) {}
 
-	leaderReported(term: number): void {
-		this.term = Math.max(this.term, term);
+	leaderReported(term: Uint64): void {
+		this.term = maxUint64(this.term, term);
 	}
 
 	admitted(task: QuotaTask, voidAt: number): void {
@@ -44,7 +45,7 @@
 	}
 
 	/** Records a start. Returns false if the worker refuses it, since it comes from a leader of an earlier term. */
-	started(term: number, task: QuotaTask): boolean {
+	started(term: Uint64, task: QuotaTask): boolean {
 		if (term < this.term) {
 			this.dropped([task.id]);
 			return false;
--- a/tests/support/quota-processes.ts
+++ b/tests/support/quota-processes.ts
@@ -5,6 +5,7 @@
 import { fileURLToPath } from "node:url";
 import type { Amount, QuotaStore } from "#team-quota";
 import type { History } from "../../packages/team-quota/tests/support/history.js";
+import type { Uint64 } from "../../src/protocol/model/uint64.js";
 import { quotaStore } from "../../src/team-quota.js";
 import { StoreClient } from "../../src/transport/clients/store-client.js";
 import {
@@ -205,7 +206,7 @@
 	}
 
 	/** Starts a task; like a worker, refuses it from a leader of an earlier term. */
-	private startTask(term: number, task: QuotaTask): void {
+	private startTask(term: Uint64, task: QuotaTask): void {
 		if (!this.recorded.started(term, task)) return;
 		setTimeout(() => {
 			this.recorded.ended(task.id);
--- a/tests/support/reconciliation-setup.ts
+++ b/tests/support/reconciliation-setup.ts
@@ -4,6 +4,7 @@
 import { ClusterState } from "../../src/coordination/state/cluster-state.js";
 import { reconcileHeartbeat } from "../../src/coordination/workers/heartbeat-reconciliation.js";
 import { issueCommands } from "../../src/coordination/workers/worker-commands.js";
+import type { AttemptNumber } from "../../src/protocol/model/identifiers.js";
 import type { MachineType } from "../../src/protocol/model/machine.js";
 import type { TeamQuota } from "../../src/protocol/model/team-quota.js";
 import type { TaskStatus, WorkerHeartbeat } from "../../src/protocol/model/worker.js";
@@ -76,7 +77,7 @@
 /** Returns an attempt at a task of `j-1`, as a heartbeat lists it. */
 export function taskStatus(
 	taskIndex: number,
-	attempt: number,
+	attempt: AttemptNumber,
 	state: TaskStatus["state"],
 	exitCause: TaskStatus["exitCause"] = null,
 ): TaskStatus {
--- a/tests/support/recorded-run.ts
+++ b/tests/support/recorded-run.ts
@@ -64,7 +64,7 @@
 	await world.time.advance(500);
 	if (world.violations.length > 0) throw new Error(world.violations.join("; "));
 	return {
-		rows: [...world.state.rows].map(([key, { v, stamp }]) => ({ key, v, stamp })),
+		rows: [...world.state.rows].map(([key, { v, stamp }]) => ({ key, v, stamp: Number(stamp) })),
 		messages: Object.fromEntries(messages),
 	};
 }
--- a/tests/support/small-cluster.ts
+++ b/tests/support/small-cluster.ts
@@ -1,5 +1,6 @@
 import { Machine } from "../../src/bookkeeping/machine.js";
 import { ClusterState } from "../../src/coordination/state/cluster-state.js";
+import type { Term } from "../../src/protocol/model/identifiers.js";
 import type { MachineType } from "../../src/protocol/model/machine.js";
 import { makeSchedulable } from "./machines.js";
 
@@ -17,9 +18,9 @@
 };
 
 /** Returns a cluster state with schedulable spot machines in two zones, and two teams limited to `cpusMax`. */
-export function clusterStateWith(machines: number, cpusMax = 8): ClusterState {
+export function clusterStateWith(machines: number, cpusMax = 8, term: Term = 7): ClusterState {
 	const clusterState = new ClusterState({
-		term: 7,
+		term,
 		teams: ["red", "blue"].map((name) => ({
 			name,
 			guaranteed: { cpus: 4, gpus: 0 },
--- a/tests/support/state-service.ts
+++ b/tests/support/state-service.ts
@@ -1,28 +1,32 @@
+import { stringifyJson } from "../../src/protocol/json.js";
+import { nextUint64, type Uint64, uint64Of } from "../../src/protocol/model/uint64.js";
 import type { HttpResponse } from "../../src/transport/clients/http-response.js";
 import type { FakeTime } from "./fake-time.js";
 
 /** A stored value, with the field names of the API. */
 interface Row {
 	v: unknown;
-	stamp: number;
-	permit?: number;
+	stamp: Uint64;
+	permit?: Uint64;
 }
 
 /** A put or delete, as watches deliver it. */
 interface Change {
 	key: string;
 	v?: unknown;
-	stamp: number;
+	stamp: Uint64;
 	dropped: boolean;
 }
 
 /** An in-process state service that implements the published API. */
 export class StateService {
-	revision = 0;
+	/** It may be set to any value from 0 to 2^64 - 1 before the controllers start. */
+	revision: Uint64 = 0;
 	readonly rows = new Map<string, Row>();
 	private readonly changes: Change[] = [];
-	private readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
-	private nextLease = 1;
+	private readonly leases = new Map<Uint64, { ttlMs: number; endsAt: number }>();
+	/** Id of the next lease, which may be any value from 1 on. */
+	nextLease: Uint64 = 1;
 	/** All requests are refused, and leases do not expire. */
 	outage = false;
 	/** Controllers whose requests are refused; their leases expire. */
@@ -57,11 +61,11 @@
 		});
 	}
 
-	private endLease(id: number): void {
+	private endLease(id: Uint64): void {
 		this.leases.delete(id);
 		const expiredKeys = [...this.rows].filter(([, row]) => row.permit === id).map(([key]) => key);
 		if (expiredKeys.length === 0) return;
-		this.revision += 1;
+		this.revision = nextUint64(this.revision);
 		for (const key of expiredKeys) this.removeRow(key);
 	}
 
@@ -77,14 +81,15 @@
 		}
 		if (url.pathname === "/multi") return this.executeTransaction(body as Record<string, unknown>);
 		if (url.pathname === "/leases") {
-			const id = this.nextLease++;
+			const id = this.nextLease;
+			this.nextLease = nextUint64(id);
 			const ttlMs = (body as { ttl_ms: number }).ttl_ms;
 			this.leases.set(id, { ttlMs, endsAt: this.time.now() + ttlMs });
 			return { status: 200, body: { permit: id } };
 		}
 		const lease = /^\/leases\/(\d+)(\/renew)?$/.exec(url.pathname);
 		if (lease) {
-			const id = Number(lease[1]);
+			const id = uint64Of(BigInt(lease[1] as string));
 			const grantedLease = this.leases.get(id);
 			if (!grantedLease) return { status: 404, body: {} };
 			if (method === "DELETE") this.endLease(id);
@@ -136,8 +141,8 @@
 	}
 
 	private executeTransaction(body: Record<string, unknown>): HttpResponse {
-		const when = (body.when ?? []) as { key: string; stamp: number }[];
-		const then = (body.then ?? []) as { put?: string; drop?: string; v?: unknown; permit?: number }[];
+		const when = (body.when ?? []) as { key: string; stamp: Uint64 }[];
+		const then = (body.then ?? []) as { put?: string; drop?: string; v?: unknown; permit?: Uint64 }[];
 		for (const op of then) {
 			if (op.permit !== undefined && !this.leases.has(op.permit)) {
 				return { status: 400, body: { error: "no such lease" } };
@@ -145,13 +150,13 @@
 		}
 		if (!this.admitsWrites(then.length)) return { status: 429, body: {} };
 		const tooLarge = then.some(
-			(op) => Buffer.byteLength(JSON.stringify(op.v ?? null)) > this.limits.valueBytes,
+			(op) => Buffer.byteLength(stringifyJson(op.v ?? null)) > this.limits.valueBytes,
 		);
 		if (tooLarge || then.length > this.limits.operations || when.length > 4 * this.limits.operations)
 			return { status: 400, body: { error: "over the limits" } };
 		const failed = when.filter((c) => (this.rows.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
 		if (failed.length > 0) return { status: 409, body: { failed, epoch: this.revision } };
-		if (then.length > 0) this.revision += 1;
+		if (then.length > 0) this.revision = nextUint64(this.revision);
 		for (const op of then) {
 			if (op.put !== undefined) {
 				this.rows.set(op.put, {
@@ -167,7 +172,7 @@
 
 	private watch(url: URL, from: string): Promise<HttpResponse> {
 		const prefix = url.searchParams.get("prefix") ?? "";
-		const after = Number(url.searchParams.get("from"));
+		const after = BigInt(url.searchParams.get("from") ?? 0);
 		const until = this.time.now() + Number(url.searchParams.get("block_ms") ?? 0);
 		return new Promise((resolve) => {
 			const check = () => {
--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -1,9 +1,12 @@
+import { nextUint64, toUint64, type Uint64 } from "../../src/protocol/model/uint64.js";
 import type { HttpResponse } from "../../src/transport/clients/http-response.js";
 import type { FakeTime } from "./fake-time.js";
 
 export interface WorkerEnvironment {
 	heartbeatIntervalS: number;
 	leaseS: number;
+	/** The value before the first agent epoch, and before the first sequence number, of workers that start. */
+	countersBefore: Uint64;
 	/** Sends a heartbeat to a controller; undefined: no response. */
 	sendHeartbeat(
 		worker: FakeWorker,
@@ -15,6 +18,8 @@
 	runSeconds(task: string): number | null;
 	/** True if the task fails on this machine because its job is faulty. */
 	failsTask(worker: FakeWorker, task: string): boolean;
+	/** Called with each start that the worker executes. */
+	attemptStarted?(task: string, attempt: Uint64): void;
 	taskStarted(worker: FakeWorker, task: string): void;
 	taskEnded(worker: FakeWorker, task: string): void;
 }
@@ -22,16 +27,16 @@
 /** An attempt as heartbeats list it, with the field names of the wire. */
 interface AttemptStatus {
 	piece: string;
-	try: number;
+	try: Uint64;
 	status: "running" | "exited";
 	cause?: string;
 }
 
 /** A worker that follows the published protocol; image fetches take no time. */
 export class FakeWorker {
-	private agentEpoch = 1;
-	private sequence = 0;
-	fencingToken = 0;
+	private agentEpoch: Uint64;
+	private sequence: Uint64;
+	fencingToken: Uint64 = 0;
 	private attempts = new Map<string, AttemptStatus>();
 	private leaseRenewedAt: number;
 	private nodeIndex = 0;
@@ -60,6 +65,8 @@
 		private readonly environment: WorkerEnvironment,
 	) {
 		this.leaseRenewedAt = time.now();
+		this.agentEpoch = nextUint64(environment.countersBefore);
+		this.sequence = environment.countersBefore;
 		this.step();
 	}
 
@@ -108,7 +115,7 @@
 
 	private expireLease(): void {
 		this.endAllTasks();
-		this.agentEpoch += 1;
+		this.agentEpoch = nextUint64(this.agentEpoch);
 		this.leaseRenewedAt = this.time.now();
 		this.advanceNextHeartbeat();
 	}
@@ -134,7 +141,7 @@
 
 	/** Returns the next heartbeat in the form of the wire. */
 	heartbeatBody(): Record<string, unknown> {
-		this.sequence += 1;
+		this.sequence = nextUint64(this.sequence);
 		return {
 			host: this.host,
 			endpoint: `${this.host}:9000`,
@@ -194,7 +201,7 @@
 	}
 
 	private handleResponse(body: Record<string, unknown>, sentAt: number): void {
-		const fencingToken = typeof body.baton === "number" ? body.baton : -1;
+		const fencingToken: Uint64 = toUint64(body.baton) ?? -1;
 		if (fencingToken < this.fencingToken) return;
 		if (fencingToken > this.fencingToken) {
 			this.fencingToken = fencingToken;
@@ -211,11 +218,13 @@
 
 	/** Handles POST /commands. */
 	handleCommands(body: Record<string, unknown>): HttpResponse {
-		if (typeof body.baton !== "number" || typeof body.shift !== "number") return { status: 400, body: {} };
-		if (body.baton < this.fencingToken || body.shift !== this.agentEpoch)
+		const fencingToken = toUint64(body.baton);
+		const agentEpoch = toUint64(body.shift);
+		if (fencingToken === null || agentEpoch === null) return { status: 400, body: {} };
+		if (fencingToken < this.fencingToken || agentEpoch !== this.agentEpoch)
 			return { status: 409, body: this.heartbeatBody() };
-		if (body.baton > this.fencingToken) {
-			this.fencingToken = body.baton;
+		if (fencingToken > this.fencingToken) {
+			this.fencingToken = fencingToken;
 			this.advanceNextHeartbeat();
 		}
 		this.executeCommands(body.orders as Record<string, unknown>[]);
@@ -225,7 +234,7 @@
 	private executeCommands(commands: Record<string, unknown>[]): void {
 		for (const command of commands) {
 			const task = String(command.piece);
-			const attempt = Number(command.try);
+			const attempt = command.try as Uint64;
 			const key = `${task}#${attempt}`;
 			const entry = this.attempts.get(key);
 			if (command.verb === "run") {
@@ -239,7 +248,7 @@
 		}
 	}
 
-	private runTask(task: string, attempt: number, key: string): void {
+	private runTask(task: string, attempt: Uint64, key: string): void {
 		const seconds = this.environment.runSeconds(task);
 		const alreadyRunning = [...this.attempts.values()].some(
 			(p) => p.piece === task && p.status === "running",
@@ -252,6 +261,7 @@
 			entry.cause = alreadyRunning ? "busy" : "no_such";
 			return;
 		}
+		this.environment.attemptStarted?.(task, attempt);
 		this.environment.taskStarted(this, task);
 		if (this.failsAllTasks || this.environment.failsTask(this, task)) this.endAttempt(key, "error");
 		else this.time.after(seconds * 1000, () => this.runOrQueue(() => this.endAttempt(key, "done")));
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -3,6 +3,8 @@
 import { type ControllerPorts, createController } from "../../src/coordination/controller-composition.js";
 import type { Log } from "../../src/coordination/ports/log.js";
 import { heartbeatResponseBody, parseHeartbeat, redirectBody } from "../../src/protocol/http/worker-api.js";
+import { parseJson, stringifyJson } from "../../src/protocol/json.js";
+import type { Uint64 } from "../../src/protocol/model/uint64.js";
 import { defaultOperatorSettings } from "../../src/protocol/settings/operator.js";
 import { parsePlatformSettings } from "../../src/protocol/settings/platform.js";
 import { createTeamQuota } from "../../src/team-quota.js";
@@ -140,10 +142,20 @@
 		this.checkWaitingPeriodically();
 	}
 
+	/** The attempts that workers have started, in order. */
+	readonly startedAttempts: { task: string; attempt: Uint64 }[] = [];
+
+	/** Sets the value before the first agent epoch and the first sequence number of workers that start from now on. */
+	setWorkerCounters(value: Uint64): void {
+		this.workerEnvironment.countersBefore = value;
+	}
+
 	private readonly workerEnvironment: WorkerEnvironment = {
 		heartbeatIntervalS: 1,
 		leaseS: 10,
 		nodes: [],
+		countersBefore: 0,
+		attemptStarted: (task, attempt) => this.startedAttempts.push({ task, attempt }),
 		runSeconds: (task) => {
 			const [id, index] = task.split("/") as [string, string];
 			const runs = this.jobs.get(id)?.runS ?? null;
@@ -170,8 +182,7 @@
 		const logAt =
 			(level: string) =>
 			(fields: object, message: string): void => {
-				if (level !== "debug")
-					this.logs.push(`${this.time.now()} ${id} ${message} ${JSON.stringify(fields)}`);
+				if (level !== "debug") this.logs.push(`${this.time.now()} ${id} ${message} ${stringifyJson(fields)}`);
 			};
 		const log: Log = { error: logAt("error"), info: logAt("info"), debug: logAt("debug") };
 		const executor = new PausableExecutor();
@@ -312,7 +323,7 @@
 	// --- workers ---
 
 	private async sendHeartbeat(worker: FakeWorker, node: string, body: Record<string, unknown>) {
-		const sentBody = JSON.stringify(body);
+		const sentBody = stringifyJson(body);
 		for (const seconds of this.duplicateHeartbeatsAfterS) {
 			this.time.after(seconds * 1000, () => {
 				const process = this.processes.get(node);
@@ -341,7 +352,7 @@
 						result.kind === "commands"
 							? { status: 200, body: heartbeatResponseBody(result.fencingToken, result.commands) }
 							: { status: 421, body: redirectBody(result.node) };
-					this.time.after(2, () => resolve(JSON.parse(JSON.stringify(response)) as HttpResponse));
+					this.time.after(2, () => resolve(parseJson(stringifyJson(response)) as HttpResponse));
 				});
 			});
 		});
