Public API: an invalid submission gets 503 while it is not known if its job was accepted

Cause: responseIfAlreadyAccepted took an unavailable lookup for "no such job". Now it is answered as every request whose result is not certain. The new test failed before (400), the others of public-api.test.ts pass.

--- a/src/transport/public/public-api.ts
+++ b/src/transport/public/public-api.ts
@@ -47,23 +47,30 @@
 	try {
 		spec = parseJobSpec(body);
 	} catch (error) {
-		const existingJobResponse = await responseIfAlreadyAccepted(service, body);
-		if (existingJobResponse) return existingJobResponse;
+		const response = await responseUnlessNew(service, body);
+		if (response) return response;
 		throw error;
 	}
 	return submitResponse(spec.id, await service.submit(spec));
 }
 
 /**
- * Returns the state of the job if the submission names a job that was accepted earlier, even if the submission is
- * invalid: a submission of an accepted job must never get 400 or 422. The test is in
+ * Returns the response to an invalid submission that names a job which was accepted earlier, or may have been: a submission
+ * of an accepted job must never get 400 or 422. Returns null if there is no such job. The tests are in
  * `tests/transport/public/public-api.test.ts`.
  */
-async function responseIfAlreadyAccepted(service: PublicService, body: string): Promise<Response | null> {
+async function responseUnlessNew(service: PublicService, body: string): Promise<Response | null> {
 	const id = jobIdOf(body);
 	if (id === null) return null;
 	const lookup = await service.status(id);
-	return lookup.kind === "found" ? Response.json(jobResponseBody(id, lookup.status)) : null;
+	switch (lookup.kind) {
+		case "found":
+			return Response.json(jobResponseBody(id, lookup.status));
+		case "unavailable":
+			return unavailableResponse(lookup.reason);
+		case "not-found":
+			return null;
+	}
 }
 
 function submitResponse(id: JobId, result: SubmitResult): Response {
--- a/tests/transport/public/public-api.test.ts
+++ b/tests/transport/public/public-api.test.ts
@@ -63,6 +63,18 @@
 		assert.deepEqual([response.status, await response.json()], [400, { error: "no such zone" }]);
 	});
 
+	// Guards against 400 for a repeated submission of an accepted job while the state service is down (`forgotten`).
+	test("with an invalid field gets 503 while it is not known if the job was accepted earlier", async () => {
+		const service = { status: async () => ({ kind: "unavailable", reason: "not now" }) as const };
+		const response = await apiOf(service).submit(submissionBody({ pieces: 0 }));
+		assert.deepEqual([response.status, await response.json()], [503, { error: "not now" }]);
+		assert.equal(
+			(await apiOf(service).submit(submissionBody({ id: "x" }))).status,
+			400,
+			"no job has this id",
+		);
+	});
+
 	test("with an invalid field, of a job that was accepted earlier, gets 200 and the job's state", async () => {
 		assert.equal((await apiOf().submit(submissionBody({ id: "j-2", pieces: 0 }))).status, 400);
 		const known = await apiOf().submit(submissionBody({ id: "j-1", pieces: 0 }));
