Machines get no more tasks than their workers can list in 64 KiB

Cause: nothing but CPUs, accelerators and memory bounded the tasks of a machine. The simulated world checks the size of every heartbeat and response.

--- a/src/bookkeeping/exited-tasks.ts
+++ b/src/bookkeeping/exited-tasks.ts
@@ -25,6 +25,11 @@
 		return this.#trigger;
 	}
 
+	/** Number of attempts that the latest heartbeat lists. */
+	get count(): number {
+		return this.#listed.length;
+	}
+
 	/** Adds an attempt that the heartbeat lists. */
 	add(task: ExitedTask): void {
 		this.#listed.push(task);
--- a/src/bookkeeping/machine-fit.ts
+++ b/src/bookkeeping/machine-fit.ts
@@ -1,5 +1,6 @@
 /** Rules for which machines and machine types can run the tasks of a job, and how many of them at once. */
 
+import { maxListedTasks } from "../protocol/http/worker-api.js";
 import type { JobSpec } from "../protocol/model/job.js";
 import type { MachineType } from "../protocol/model/machine.js";
 import type { Job } from "./job.js";
@@ -7,7 +8,7 @@
 
 /** Number of the job's tasks that fit at once on an empty machine of the type. */
 export function maxTasksPerMachine(spec: JobSpec, type: MachineType): number {
-	let tasks = Math.floor(type.cpus / spec.cpus);
+	let tasks = Math.min(maxListedTasks, Math.floor(type.cpus / spec.cpus));
 	if (spec.gpus > 0) tasks = Math.min(tasks, Math.floor(type.gpus / spec.gpus));
 	if (spec.memoryGb > 0) tasks = Math.min(tasks, Math.floor(type.memoryGb / spec.memoryGb));
 	return tasks;
--- a/src/bookkeeping/machine.ts
+++ b/src/bookkeeping/machine.ts
@@ -1,5 +1,6 @@
 /** The leader's state of a rented machine. Each part of the state is a class, whose methods alone change it. */
 
+import { maxListedTasks } from "../protocol/http/worker-api.js";
 import type { MachineId, TaskId } from "../protocol/model/identifiers.js";
 import type { MachineType } from "../protocol/model/machine.js";
 import type { Attempt } from "./attempt.js";
@@ -59,6 +60,12 @@
 		return this.#orphans;
 	}
 
+	/** Number of further tasks that the worker can list in its heartbeats. */
+	get taskHeadroom(): number {
+		const listed = this.#attempts.size + this.exitedTasks.count + this.#orphans.length;
+		return Math.max(0, maxListedTasks - listed);
+	}
+
 	/** True if new tasks may be placed on the machine. */
 	get schedulable(): boolean {
 		return this.canStartTasks && this.countsAsCapacity;
--- a/src/coordination/placement/free-capacity.ts
+++ b/src/coordination/placement/free-capacity.ts
@@ -32,9 +32,14 @@
 	return free;
 }
 
+/** Resources of a machine, and the number of further tasks that its worker can list. */
+interface RemainingCapacity extends ResourceAmounts {
+	tasks: number;
+}
+
 /** Simulates the placement of replicas: tracks the capacity that would remain on each machine. */
 export class SimulatedCapacity {
-	private readonly remainingByMachine = new Map<Machine, ResourceAmounts>();
+	private readonly remainingByMachine = new Map<Machine, RemainingCapacity>();
 
 	constructor(private readonly initialResources: (machine: Machine) => ResourceAmounts) {}
 
@@ -58,6 +63,7 @@
 				remaining.cpus -= spec.cpus;
 				remaining.gpus -= spec.gpus;
 				remaining.memory -= spec.memoryGb;
+				remaining.tasks -= 1;
 				tasksByZone[machine.zone] = (tasksByZone[machine.zone] ?? 0) + 1;
 				unplaced -= 1;
 			}
@@ -65,16 +71,16 @@
 		return unplaced;
 	}
 
-	private remainingOn(machine: Machine): ResourceAmounts {
+	private remainingOn(machine: Machine): RemainingCapacity {
 		let remaining = this.remainingByMachine.get(machine);
 		if (!remaining) {
-			remaining = this.initialResources(machine);
+			remaining = { ...this.initialResources(machine), tasks: machine.taskHeadroom };
 			this.remainingByMachine.set(machine, remaining);
 		}
 		return remaining;
 	}
 }
 
-function taskFits(remaining: ResourceAmounts, spec: JobSpec): boolean {
-	return remaining.cpus >= spec.cpus && remaining.gpus >= spec.gpus && remaining.memory >= spec.memoryGb;
+function taskFits({ cpus, gpus, memory, tasks }: RemainingCapacity, spec: JobSpec): boolean {
+	return tasks >= 1 && cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb;
 }
--- a/src/coordination/placement/placement-cycle.ts
+++ b/src/coordination/placement/placement-cycle.ts
@@ -23,8 +23,6 @@
  * with the placer, whose store replica may lag this far behind.
  */
 const replicaLagMs = 1000;
-/** The value of `MachineCapacity.slots` for machines that are not on probation: no limit on the number of tasks. */
-const unlimitedSlots = 100_000;
 
 /** A placement request whose proposal has not been received. */
 interface OutstandingRequest {
@@ -167,7 +165,8 @@
 	 */
 	private sampledCapacities(): MachineCapacity[] {
 		const schedulable = [...this.clusterState.machines.values()].filter(
-			(m) => m.schedulable && m.capacity.freeCpus > 0 && m.capacity.reservedForJob === null,
+			(m) =>
+				m.schedulable && m.capacity.freeCpus > 0 && m.taskHeadroom > 0 && m.capacity.reservedForJob === null,
 		);
 		return randomSample(schedulable, this.options.maxMachinesPerCycle, this.options.random)
 			.sort(
@@ -277,7 +276,7 @@
 		cpus: machine.capacity.freeCpus,
 		gpus: machine.capacity.freeGpus,
 		memory: machine.capacity.freeMemoryGb,
-		slots: machine.health.onProbation ? Math.max(0, 1 - machine.attempts.size) : unlimitedSlots,
+		slots: machine.health.onProbation ? Math.max(0, 1 - machine.attempts.size) : machine.taskHeadroom,
 		images: [...machine.capacity.cachedImages],
 	};
 }
--- a/src/coordination/state/assignment-rules.ts
+++ b/src/coordination/state/assignment-rules.ts
@@ -16,6 +16,7 @@
 	| "machine not schedulable"
 	| "machine reserved"
 	| "machine not allowed"
+	| "task list of machine full"
 	| "insufficient capacity on machine"
 	| "machine on probation"
 	| "team at limit"
@@ -94,6 +95,9 @@
 	if (capacity.reservedForJob !== null && capacity.reservedForJob !== job) return "machine reserved";
 	// The task would run on a machine type, in a zone or on a spot machine that its job does not allow (trace 16).
 	if (!machineAllowed(spec, machine)) return "machine not allowed";
+	// The worker's heartbeat would be too large, and every controller would refuse it ("a machine gets no more tasks than
+	// its worker can list…" in tests/coordination/state/assignment-rules.test.ts).
+	if (machine.taskHeadroom < 1) return "task list of machine full";
 	// The worker would refuse the start ("the assignment of tasks never exceeds a team's limit or a machine's
 	// capacity…" in tests/coordination/state/cluster-state.test.ts).
 	if (!capacity.fits(spec)) return "insufficient capacity on machine";
--- a/src/coordination/workers/task-reconciliation.ts
+++ b/src/coordination/workers/task-reconciliation.ts
@@ -38,6 +38,7 @@
 
 	/** Applies the state of every task that the heartbeat lists. */
 	reconcileListed(tasks: readonly TaskStatus[]): void {
+		const listWasFull = this.machine.taskHeadroom === 0;
 		this.machine.exitedTasks.clear();
 		this.clusterState.clearOrphans(this.machine);
 		for (const task of tasks) {
@@ -49,6 +50,7 @@
 			} else if (task.state === "exited") this.reconcileUnknownExit(task);
 			else if (this.adoptOrOrphan(task, task.state)) this.#listedTasks.add(taskId);
 		}
+		if (listWasFull && this.machine.taskHeadroom > 0) this.clusterState.requestPlacement();
 	}
 
 	/** True if the heartbeat lacks an attempt whose start command was sent. Called before `reconcileAbsent`. */
--- a/src/protocol/http/worker-api.ts
+++ b/src/protocol/http/worker-api.ts
@@ -44,6 +44,12 @@
 	no_such: "unknown",
 };
 
+/**
+ * The maximum number of tasks that a worker may list, exited ones included: its heartbeats and the commands for them have
+ * at most 64 KiB (test: "the largest heartbeat and response ..." in worker-api.test.ts).
+ */
+export const maxListedTasks = 500;
+
 /** The maximum length of a string in a heartbeat. */
 const maxTextLength = 200;
 
--- a/tests/coordination/state/assignment-rules.test.ts
+++ b/tests/coordination/state/assignment-rules.test.ts
@@ -5,6 +5,7 @@
 import type { AdmissionControl } from "../../../src/coordination/ports/team-quota.js";
 import type { AssignmentRefusal } from "../../../src/coordination/state/assignment-rules.js";
 import type { ClusterState } from "../../../src/coordination/state/cluster-state.js";
+import { maxListedTasks } from "../../../src/protocol/http/worker-api.js";
 import type { Term } from "../../../src/protocol/model/identifiers.js";
 import type { JobSpec } from "../../../src/protocol/model/job.js";
 import { jobOf } from "../../support/machines.js";
@@ -97,6 +98,14 @@
 		spec: { machineTypes: ["large"] },
 	},
 	{ refusal: "machine not allowed", condition: "the job allows no spot machine", spec: { allowSpot: false } },
+	{
+		refusal: "task list of machine full",
+		condition: "the worker lists as many tasks as fit into a heartbeat",
+		prepare: ({ machine }) => {
+			for (let taskIndex = 0; taskIndex < maxListedTasks; taskIndex++)
+				machine.exitedTasks.add({ jobId: "j-9", taskIndex, attempt: 1, done: false });
+		},
+	},
 	{
 		refusal: "insufficient capacity on machine",
 		condition: "another task of the job leaves too few CPUs",
--- a/tests/protocol/http/worker-api.test.ts
+++ b/tests/protocol/http/worker-api.test.ts
@@ -3,16 +3,47 @@
 import {
 	directCommandsBody,
 	heartbeatResponseBody,
+	maxListedTasks,
 	parseDirectCommandsResponse,
 	parseHeartbeat,
 	redirectBody,
 } from "../../../src/protocol/http/worker-api.js";
+import { stringifyJson } from "../../../src/protocol/json.js";
 import type { WorkerCommand } from "../../../src/protocol/model/worker.js";
+import { maxBodyBytes } from "../../../src/transport/public/request-body.js";
 import { heartbeatBody } from "../../support/request-bodies.js";
 
 const parse = (fields: Parameters<typeof heartbeatBody>[0]) =>
 	parseHeartbeat(JSON.stringify(heartbeatBody(fields)));
 
+// Guards against heartbeats that every controller refuses, and responses with too long a line.
+test("the largest heartbeat and response have at most 64 KiB", () => {
+	const largestJobId = `j-${"9".repeat(18)}`;
+	const largestInteger = 2n ** 64n - 1n;
+	const text = "x".repeat(200);
+	const ref = { jobId: largestJobId, taskIndex: 99_999, attempt: largestInteger };
+	const stop: WorkerCommand = { kind: "stop", ...ref, graceS: 123.456789 };
+	const counters = { shift: largestInteger, tick: largestInteger, baton: largestInteger };
+	const heartbeat = {
+		...heartbeatBody({ host: text, endpoint: text, shape: text, hall: text, recall_s: 123.456789 }),
+		...counters,
+		pieces: Array.from({ length: maxListedTasks }, () => ({
+			piece: `${largestJobId}/${ref.taskIndex}`,
+			try: largestInteger,
+			status: "exited",
+			cause: "stopped",
+			stored: true,
+		})),
+	};
+	const commands = Array.from({ length: maxListedTasks }, () => stop);
+	for (const body of [
+		heartbeat,
+		heartbeatResponseBody(largestInteger, commands),
+		directCommandsBody(largestInteger, largestInteger, commands),
+	])
+		assert.ok(stringifyJson(body).length <= maxBodyBytes, `${stringifyJson(body).length} bytes`);
+});
+
 describe("a worker's heartbeat", () => {
 	test("is parsed with every field, every task state and every exit cause", () => {
 		const wire = {
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -14,6 +14,7 @@
 import { WorkerClient } from "../../src/transport/clients/worker-client.js";
 import { encodeFrame, FrameReader } from "../../src/transport/peers/frame.js";
 import { publicApi } from "../../src/transport/public/public-api.js";
+import { maxBodyBytes } from "../../src/transport/public/request-body.js";
 import { FakeCloud } from "./cloud.js";
 import { type ControllerProcess, PausableExecutor, WorkerConnections } from "./controller-process.js";
 import { FakeTime } from "./fake-time.js";
@@ -33,6 +34,7 @@
 	id: string;
 	pieces: number;
 	cores: number;
+	ram_gb?: number;
 	desk?: string;
 	urgency?: string;
 	shapes?: string[] | null;
@@ -342,6 +344,8 @@
 			);
 			const fault = this.network.faultFor(worker.host, node, "POST", "/v1/report");
 			if (fault.dropRequest) return;
+			if (Buffer.byteLength(sentBody) > maxBodyBytes)
+				this.violations.push(`heartbeat of ${worker.host} has ${Buffer.byteLength(sentBody)} bytes`);
 			this.time.after(2 + (fault.delayMs ?? 0), () => {
 				const current = this.processes.get(node);
 				current?.executor.runOrQueue(async () => {
@@ -352,7 +356,10 @@
 						result.kind === "commands"
 							? { status: 200, body: heartbeatResponseBody(result.fencingToken, result.commands) }
 							: { status: 421, body: redirectBody(result.node) };
-					this.time.after(2, () => resolve(parseJson(stringifyJson(response)) as HttpResponse));
+					const text = stringifyJson(response);
+					if (Buffer.byteLength(text) > maxBodyBytes)
+						this.violations.push(`response to ${worker.host} has ${Buffer.byteLength(text)} bytes`);
+					this.time.after(2, () => resolve(parseJson(text) as HttpResponse));
 				});
 			});
 		});
