Leaders start no more attempts than they can hold

With tasks so small that hundreds fit on a machine, hundreds of machines would take more attempts than the heap of a leader holds, and each next leader adopts them.

--- a/src/coordination/leader-composition.ts
+++ b/src/coordination/leader-composition.ts
@@ -30,6 +30,7 @@
 import { PreemptionCycle } from "./preemption/preemption-cycle.js";
 import type { ChunkedRecordsEnvironment } from "./replication/chunked-records.js";
 import { TickDelay } from "./runtime/tick-delay.js";
+import { maxAttempts } from "./state/attempt-capacity.js";
 import { ClusterState } from "./state/cluster-state.js";
 import type { ResignationReason } from "./state/resignation-reason.js";
 import { TermAuthority } from "./state/term-authority.js";
@@ -255,7 +256,7 @@
 	};
 }
 
-function createClusterState({ term, platform, replica, machineTypes }: LeaderOptions): ClusterState {
+function createClusterState({ term, platform, replica, machineTypes, ports }: LeaderOptions): ClusterState {
 	const { teams, workers } = platform.cluster;
 	const leaseExpiryMs = workers.lease_s * 1000 * (1 + 2 * maxClockDriftFraction) + leaseExpiryMarginMs;
 	return new ClusterState({
@@ -263,6 +264,7 @@
 		teams,
 		machineTypes,
 		workerLeaseExpiryMs: leaseExpiryMs,
+		maxAttempts: maxAttempts(ports.memory.heapLimitBytes),
 		demandOf: (jobId) => replica.demandOf(jobId),
 	});
 }
--- a/src/coordination/placement/grants.ts
+++ b/src/coordination/placement/grants.ts
@@ -63,6 +63,7 @@
 	/** Tasks granted to each job, in the order of their first grants. */
 	readonly grantedTasks = new Map<Job, number>();
 	private remainingCpus = 0;
+	private remainingAttempts: number;
 	private readonly grantedByTeam = new Map<string, { cpus: number; gpus: number }>();
 	private readonly placeableTasksByKey = new Map<string, number>();
 
@@ -71,11 +72,12 @@
 		private readonly capacities: MachineCapacity[],
 	) {
 		for (const capacity of capacities) this.remainingCpus += capacity.cpus;
+		this.remainingAttempts = clusterState.attemptHeadroom;
 	}
 
 	runPass({ jobs, maxTasksPerJob, quotaBound }: GrantPass): void {
 		for (const job of jobs) {
-			if (this.remainingCpus <= 0) return;
+			if (this.remainingCpus <= 0 || this.remainingAttempts <= 0) return;
 			const { spec } = job;
 			const grantedToTeam = this.grantedByTeam.get(spec.team) ?? { cpus: 0, gpus: 0 };
 			const grantedBefore = this.grantedTasks.get(job) ?? 0;
@@ -85,6 +87,7 @@
 				ungranted,
 				this.clusterState.quotas.taskHeadroom(spec, quotaBound, grantedToTeam),
 				Math.ceil(this.remainingCpus / spec.cpus),
+				this.remainingAttempts,
 			);
 			// Capacity granted to a job that cannot use it would be withheld from jobs that can.
 			if (count > 0) count = Math.min(count, this.placeableTasksOf(job) - grantedBefore);
@@ -95,6 +98,7 @@
 				gpus: grantedToTeam.gpus + count * spec.gpus,
 			});
 			this.remainingCpus -= count * spec.cpus;
+			this.remainingAttempts -= count;
 		}
 	}
 
--- a/src/coordination/state/assignment-rules.ts
+++ b/src/coordination/state/assignment-rules.ts
@@ -13,6 +13,7 @@
 	| "job ended"
 	| "no attempt numbers yet"
 	| "attempt numbers exhausted"
+	| "attempt limit"
 	| "machine not schedulable"
 	| "machine reserved"
 	| "machine not allowed"
@@ -31,6 +32,8 @@
 	readonly attemptNumbersAvailable: boolean;
 	/** True if the attempt numbers of the term are used up. */
 	readonly attemptNumbersExhausted: boolean;
+	/** Number of further attempts that the leader can hold. */
+	readonly attemptHeadroom: number;
 }
 
 /** Decides whether one more task of a job may start on a machine. It has no state. */
@@ -64,6 +67,8 @@
 		if (!this.readiness.attemptNumbersAvailable) return "no attempt numbers yet";
 		// If a number were used twice, a late heartbeat could be attributed to the wrong attempt. The leader resigns.
 		if (this.readiness.attemptNumbersExhausted) return "attempt numbers exhausted";
+		// The leader would run out of memory (attempt-capacity.ts).
+		if (this.readiness.attemptHeadroom < 1) return "attempt limit";
 		return null;
 	}
 
--- a/src/coordination/state/cluster-state.ts
+++ b/src/coordination/state/cluster-state.ts
@@ -33,6 +33,8 @@
 	 * expired; clock drift and a margin are included.
 	 */
 	workerLeaseExpiryMs?: number;
+	/** Number of attempts that the leader has at most; by default any number. */
+	maxAttempts?: number;
 	/** Returns the demand of a task of a job that has ended; null: it is unknown. */
 	demandOf?(jobId: JobId): TaskDemand | null;
 }
@@ -53,10 +55,13 @@
 	readonly #machines = new Map<MachineId, Machine>();
 	readonly #machineTypes = new Map<string, MachineType>();
 	readonly #unreconciled = new Set<Machine>();
+	readonly #maxAttempts: number;
+	#attemptCount = 0;
 	#relocationTargets = new Set<Machine>();
 	#placementRequested = false;
 
-	constructor({ term, teams, machineTypes, workerLeaseExpiryMs, demandOf }: ClusterStateOptions) {
+	constructor(options: ClusterStateOptions) {
+		const { term, teams, machineTypes, workerLeaseExpiryMs, demandOf, maxAttempts } = options;
 		this.term = term;
 		this.quotas = new QuotaLedger(teams);
 		this.#accounting = new QuotaAccounting(this.quotas);
@@ -64,6 +69,7 @@
 		this.#rules = new AssignmentRules(this, this.#accounting);
 		this.#orphans = new OrphanRegistry(this.#accounting, demandOf ?? (() => null));
 		this.#attemptNumbers = new AttemptNumbers(term);
+		this.#maxAttempts = maxAttempts ?? Number.POSITIVE_INFINITY;
 		this.updateMachineTypes(machineTypes);
 	}
 
@@ -276,6 +282,11 @@
 		return this.#attemptNumbers.exhausted;
 	}
 
+	/** Number of further attempts that the leader can hold. */
+	get attemptHeadroom(): number {
+		return Math.max(0, this.#maxAttempts - this.#attemptCount);
+	}
+
 	/** Returns why one more task of the job may not start on the machine now; null: it may. */
 	assignmentRefusal(
 		job: Job,
@@ -317,6 +328,7 @@
 	}
 
 	private register(attempt: Attempt): void {
+		this.#attemptCount += 1;
 		attempt.job.addAttempt(attempt);
 		attempt.machine.addAttempt(attempt);
 	}
@@ -328,6 +340,7 @@
 	endAttempt(attempt: Attempt): void {
 		const { job, machine, charge } = attempt;
 		if (!job.removeAttempt(attempt)) return;
+		this.#attemptCount -= 1;
 		machine.removeAttempt(attempt);
 		const admittedBy = charge?.node;
 		this.#accounting.release(job.spec, charge);
--- a/tests/bookkeeping/job-memory.test.ts
+++ b/tests/bookkeeping/job-memory.test.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from "node:url";
 
 /** Runs a script of tests/support in a process of its own, and returns the number that it prints. */
-function runScript(heapOptions: string[], script: string, argument: string): number {
+function runScript(heapOptions: string[], script: string, argument = ""): number {
 	const path = fileURLToPath(new URL(`../support/${script}.js`, import.meta.url));
 	const output = execFileSync(process.execPath, [...heapOptions, path, argument], {
 		stdio: ["ignore", "pipe", "pipe"],
@@ -35,3 +35,9 @@
 		assert.ok(runScript(deployedHeapOptions(), "load-accepted-jobs", kind) >= minJobs);
 	});
 }
+
+// Guards against a leader that runs out of memory when accepted jobs of very small tasks run.
+test("a leader holds as many attempts as it starts, beside accepted jobs and 4,000 machines", () => {
+	const minAttemptsPerMachine = 16;
+	assert.ok(runScript(deployedHeapOptions(), "load-attempts") >= 4000 * minAttemptsPerMachine);
+});
--- a/tests/coordination/state/assignment-rules.test.ts
+++ b/tests/coordination/state/assignment-rules.test.ts
@@ -2,13 +2,15 @@
 import { describe, test } from "node:test";
 import type { Job } from "../../../src/bookkeeping/job.js";
 import type { Machine } from "../../../src/bookkeeping/machine.js";
+import { computeGrants } from "../../../src/coordination/placement/grants.js";
+import { capacityOf } from "../../../src/coordination/placement/placement-cycle.js";
 import type { AdmissionControl } from "../../../src/coordination/ports/team-quota.js";
 import type { AssignmentRefusal } from "../../../src/coordination/state/assignment-rules.js";
-import type { ClusterState } from "../../../src/coordination/state/cluster-state.js";
+import { ClusterState } from "../../../src/coordination/state/cluster-state.js";
 import { maxListedTasks } from "../../../src/protocol/http/worker-api.js";
 import type { Term } from "../../../src/protocol/model/identifiers.js";
 import type { JobSpec } from "../../../src/protocol/model/job.js";
-import { jobOf } from "../../support/machines.js";
+import { jobOf, machineOf, makeSchedulable } from "../../support/machines.js";
 import { clusterStateWith } from "../../support/small-cluster.js";
 import { specOf } from "../../support/specs.js";
 
@@ -184,4 +186,25 @@
 		clusterState.useReservedAttemptRange(1);
 		assert.equal(clusterState.assignNextTask(job, machine)?.number, 2n ** 63n + 2n ** 22n + 1n);
 	});
+
+	test("if the leader can hold another attempt, such as once one has ended", () => {
+		const teams = [{ name: "red", guaranteed: { cpus: 8, gpus: 0 }, limit: { cpus: 8, gpus: 0 } }];
+		const clusterState = new ClusterState({ term: 7, teams, machineTypes: [], maxAttempts: 2 });
+		const machine = machineOf();
+		makeSchedulable(machine);
+		clusterState.addMachine(machine);
+		const job = clusterState.addJob("j-1", specOf("j-1"), 0, 1);
+		const grantedCount = () =>
+			computeGrants(clusterState, [job], [capacityOf(machine)], { monotonicMs: 0, wallClockMs: 0 })[0]?.grant
+				.count;
+		assert.equal(grantedCount(), 2, "no more tasks are granted");
+		const attempt = clusterState.assignNextTask(job, machine);
+		startTask(clusterState, job, machine);
+		assert.equal(clusterState.assignmentRefusal(job, machine), "attempt limit");
+		assert.equal(clusterState.assignNextTask(job, machine), null);
+		assert.equal(grantedCount(), undefined);
+		if (attempt) clusterState.endAttempt(attempt);
+		assert.equal(grantedCount(), 1);
+		startTask(clusterState, job, machine);
+	});
 });
