--- a/packages/team-quota/src/advance-record.ts
+++ b/packages/team-quota/src/advance-record.ts
@@ -1,3 +1,5 @@
+/** The next record of a team, given the state of its holders: a pure function of its input. */
+
 import { type Amount, subtractAmounts, sumAmounts, zeroAmount } from "./amount.js";
 import { anyBelowTarget, type HolderDemand, planAllotments } from "./planner.js";
 import {
--- a/packages/team-quota/src/allotment-writer.ts
+++ b/packages/team-quota/src/allotment-writer.ts
@@ -1,3 +1,5 @@
+/** The writes of a leader's quota records to the state service. */
+
 import { AllotmentChangeLog } from "./allotment-change-log.js";
 import { inUnits, sameAmount } from "./amount.js";
 import { allotmentOf, type QuotaRecord } from "./record.js";
--- a/packages/team-quota/src/amount.ts
+++ b/packages/team-quota/src/amount.ts
@@ -1,3 +1,5 @@
+/** Amounts of CPUs and accelerators, and calculations with them. */
+
 import * as v from "valibot";
 
 /**
--- a/packages/team-quota/src/charge-verification.ts
+++ b/packages/team-quota/src/charge-verification.ts
@@ -1,3 +1,5 @@
+/** The regular comparison of charges, allotments and the scheduler's own counts. */
+
 import { type Amount, fitsWithin, sameAmount, subtractAmounts } from "./amount.js";
 import type { QuotaRecord } from "./record.js";
 
--- a/packages/team-quota/src/charges.ts
+++ b/packages/team-quota/src/charges.ts
@@ -1,3 +1,5 @@
+/** Charges: which allotment each running task of a term counts against. */
+
 import { type Amount, addAmounts, subtractAmounts, zeroAmount } from "./amount.js";
 
 /**
--- a/packages/team-quota/src/commands.ts
+++ b/packages/team-quota/src/commands.ts
@@ -1,3 +1,5 @@
+/** The operators' commands that show and change limits. */
+
 import { type Amount, addAmounts, toUnits, zeroAmount } from "./amount.js";
 import { changeLimit, LimitChangeError, type LimitRequest } from "./limit-change.js";
 import { packValue, unpackValue } from "./packed-record.js";
--- a/packages/team-quota/src/demand.ts
+++ b/packages/team-quota/src/demand.ts
@@ -1,3 +1,5 @@
+/** The amounts that controllers request of the limits of teams. */
+
 import { type Amount, sameAmount, zeroAmount } from "./amount.js";
 
 /** What each controller requests of each team's limit, and which controller receives the part that none requests. */
--- a/packages/team-quota/src/holder-messages.ts
+++ b/packages/team-quota/src/holder-messages.ts
@@ -1,3 +1,5 @@
+/** The messages between the leader's allotment manager and the holders. */
+
 import * as v from "valibot";
 import { type Amount, AmountSchema } from "./amount.js";
 import { type Uint64, Uint64Schema } from "./uint64.js";
--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -1,3 +1,5 @@
+/** The processes that hold allotments, as one leader knows them. */
+
 import { createHash } from "node:crypto";
 import { maxClockDriftFraction } from "./holder.js";
 import type { AllotmentUpdate, HolderReply, TeamAllotmentUpdate } from "./holder-messages.js";
--- a/packages/team-quota/src/holder.ts
+++ b/packages/team-quota/src/holder.ts
@@ -1,3 +1,5 @@
+/** The holder of allotments in one process, which admits work against them. */
+
 import {
 	type Amount,
 	addAmounts,
--- a/packages/team-quota/src/limit-change.ts
+++ b/packages/team-quota/src/limit-change.ts
@@ -1,3 +1,5 @@
+/** Changes of a team's limits that operators request. */
+
 import { type Amount, fitsWithin, limitAmount, toUnits } from "./amount.js";
 import { type LimitAndGuarantee, type QuotaRecord, requestLimit } from "./record.js";
 
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -1,3 +1,5 @@
+/** The leader's allotment manager for one term. */
+
 import { advanceRecord, excessOverPendingLimit, type HolderState, initialRecord } from "./advance-record.js";
 import { AllotmentWriter, type AllotmentWriterOptions } from "./allotment-writer.js";
 import {
--- a/packages/team-quota/src/packed-record.ts
+++ b/packages/team-quota/src/packed-record.ts
@@ -1,3 +1,5 @@
+/** The stored form of quota records. */
+
 import * as v from "valibot";
 import type { Amount } from "./amount.js";
 import {
--- a/packages/team-quota/src/planner.ts
+++ b/packages/team-quota/src/planner.ts
@@ -1,3 +1,5 @@
+/** The division of a team's limit among its holders: pure functions. */
+
 import { type Amount, maxAmount, minAmount, subtractAmounts } from "./amount.js";
 
 /** The planner's input for one controller and one team. */
--- a/packages/team-quota/src/quota-participant.ts
+++ b/packages/team-quota/src/quota-participant.ts
@@ -1,3 +1,5 @@
+/** Team quota in one process: a holder and, while the process leads, the allotment manager. */
+
 import { effectiveLimits } from "./advance-record.js";
 import type { QuotaLog } from "./allotment-writer.js";
 import type { Amount } from "./amount.js";
@@ -13,6 +15,7 @@
 import { type QuotaStore, type StoredCondition, StoredValues } from "./stored-values.js";
 import type { Uint64 } from "./uint64.js";
 
+/** The operators' settings of team quota, in milliseconds. */
 export interface QuotaParticipantSettings {
 	/** A holder that has not replied for about this long loses its allotments. */
 	expiryMs: number;
@@ -22,6 +25,7 @@
 	movePauseMs: number;
 }
 
+/** Dependencies and settings of one process. */
 export interface QuotaParticipantOptions {
 	node: string;
 	/** Identifies this process among all processes of the node. */
--- a/packages/team-quota/src/quota-service.ts
+++ b/packages/team-quota/src/quota-service.ts
@@ -1,3 +1,5 @@
+/** Team quota as the scheduler uses it. */
+
 import {
 	type Amount,
 	addAmounts,
--- a/packages/team-quota/src/record.ts
+++ b/packages/team-quota/src/record.ts
@@ -1,3 +1,5 @@
+/** The quota record of a team, and the transitions that keep its invariants. */
+
 import * as v from "valibot";
 import {
 	type Amount,
--- a/packages/team-quota/src/stored-values.ts
+++ b/packages/team-quota/src/stored-values.ts
@@ -1,23 +1,29 @@
+/** A process's copy of the stored quota values. */
+
 import { maxRecordBytes, type PackedQuotaValue, packValue, unpackValue } from "./packed-record.js";
 import type { QuotaRecord } from "./record.js";
 import type { Uint64 } from "./uint64.js";
 
+/** A value to write. */
 export interface StoredChange {
 	key: string;
 	value: PackedQuotaValue;
 }
 
+/** Requires a key to have this revision when values are written. */
 export interface StoredCondition {
 	key: string;
 	/** 0 requires that the key does not exist. */
 	revision: Uint64;
 }
 
+/** The result of a write that the state service answered. */
 export type QuotaWriteResult =
 	| { kind: "written"; revision: Uint64 }
 	/** The keys whose revisions differ from the conditions. */
 	| { kind: "conflict"; keys: string[] };
 
+/** A key of the state service with its value. */
 export interface QuotaRow {
 	key: string;
 	value: unknown;
@@ -39,6 +45,7 @@
 	unreadableTeams: string[];
 }
 
+/** Settings of the stored values. */
 export interface StoredValuesOptions {
 	/** Prefix of the keys of stored quota values. */
 	keyPrefix: string;
--- a/packages/team-quota/src/uint64.ts
+++ b/packages/team-quota/src/uint64.ts
@@ -1,3 +1,5 @@
+/** Integers from 0 to 2^64 - 1. */
+
 import * as v from "valibot";
 
 /**
--- a/src/coordination/fleet/cloud-inventory.ts
+++ b/src/coordination/fleet/cloud-inventory.ts
@@ -1,3 +1,5 @@
+/** Reconciles the leader's machines with the cloud's machine list. */
+
 import { Machine } from "../../bookkeeping/machine.js";
 import type { MachineListPage } from "../../protocol/http/cloud-api.js";
 import type { ListedMachine } from "../../protocol/model/machine.js";
@@ -16,6 +18,7 @@
 /** Reading a long list must leave most of the cloud's rate limit to scale-out and scale-in. */
 const maxReadTimeFraction = 1 / 3;
 
+/** Actions of the fleet that the inventory calls. */
 export interface CloudInventoryHooks {
 	/** Runs the action in the process's serial executor. */
 	post(action: () => void): void;
--- a/src/coordination/fleet/drain.ts
+++ b/src/coordination/fleet/drain.ts
@@ -1,3 +1,5 @@
+/** Draining of machines: they accept no new tasks until they are empty and can be deleted. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import { fitsEmptyMachine, machineAllowed } from "../../bookkeeping/machine-fit.js";
--- a/src/coordination/fleet/expected-services.ts
+++ b/src/coordination/fleet/expected-services.ts
@@ -1,3 +1,5 @@
+/** The service jobs for which capacity is kept before they are submitted. */
+
 import type { JobSpec } from "../../protocol/model/job.js";
 import type { MachineType } from "../../protocol/model/machine.js";
 import type { StartTimeObjective } from "../../protocol/settings/objectives.js";
--- a/src/coordination/fleet/fleet-load.ts
+++ b/src/coordination/fleet/fleet-load.ts
@@ -1,3 +1,5 @@
+/** The quantities of the cluster state on which the hill climb is based. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import {
@@ -7,8 +9,6 @@
 import type { ClusterState } from "../state/cluster-state.js";
 import type { HillClimbSettings } from "./hill-climb.js";
 
-/** The quantities of the cluster state on which the hill climb is based. */
-
 /**
  * Returns the mean remaining seconds of a running task: half the mean estimated run time of the present tasks,
  * weighted by cores. The load thresholds are multiples of it, so that they have the same meaning for tasks of
@@ -92,6 +92,7 @@
 	remainingWork: number;
 }
 
+/** Returns the state of the fleet for one round of the hill climb. */
 export function takeFleetSnapshot(
 	clusterState: ClusterState,
 	now: number,
--- a/src/coordination/fleet/fleet.ts
+++ b/src/coordination/fleet/fleet.ts
@@ -1,3 +1,5 @@
+/** The leader's rounds of scaling: how many machines the fleet has, and which. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import { fitsEmptyMachine } from "../../bookkeeping/machine-fit.js";
@@ -16,6 +18,7 @@
 import { ScaleIn } from "./scale-in.js";
 import { ScaleOut, type ScaleOutOutcome } from "./scale-out.js";
 
+/** Actions of the leader that the fleet calls. */
 export interface FleetHooks {
 	/** Runs the action in the process's serial executor. */
 	post(action: () => void): void;
@@ -28,6 +31,7 @@
 	onMachineDeleted(machine: Machine): void;
 }
 
+/** Dependencies and settings of the fleet. */
 export interface FleetOptions {
 	clusterState: ClusterState;
 	cloud: CloudProvider;
--- a/src/coordination/fleet/hill-climb.ts
+++ b/src/coordination/fleet/hill-climb.ts
@@ -1,9 +1,9 @@
+/** The decisions of the hill climb as pure functions. */
+
 import { maxTasksPerMachine, typeFits } from "../../bookkeeping/machine-fit.js";
 import type { JobSpec } from "../../protocol/model/job.js";
 import type { MachineType } from "../../protocol/model/machine.js";
 
-/** The decisions of the hill climb as pure functions. */
-
 /** The operators' settings of the hill climb, under their names in the settings file. */
 export interface HillClimbSettings {
 	/** The load thresholds, as multiples of the mean work of a busy machine. */
@@ -23,6 +23,7 @@
 	down: number;
 }
 
+/** What a round of the hill climb does: add a machine, drain one, or nothing. */
 export type ScalingAction = "up" | "down" | "none";
 
 /** Returns the load: remaining work divided by the number of machines minus one half. */
--- a/src/coordination/fleet/machine-type-catalog.ts
+++ b/src/coordination/fleet/machine-type-catalog.ts
@@ -1,3 +1,5 @@
+/** The machine types that the cloud offers, as the leader reads and stores them. */
+
 import { revisionOf, type Term } from "../../protocol/model/identifiers.js";
 import type { MachineType } from "../../protocol/model/machine.js";
 import { keys } from "../../protocol/records/keys.js";
@@ -11,6 +13,7 @@
 const refreshIntervalMs = 60_000;
 const retryMs = 700;
 
+/** Dependencies of the catalog. */
 export interface MachineTypeCatalogOptions {
 	cloud: CloudProvider;
 	store: KeyValueStore;
--- a/src/coordination/fleet/provisioning-times.ts
+++ b/src/coordination/fleet/provisioning-times.ts
@@ -1,3 +1,5 @@
+/** Timeouts of machines that boot, by the boots observed for their types. */
+
 import type { Machine } from "../../bookkeeping/machine.js";
 
 /** Machines usually boot within this multiple of the stated boot time. */
--- a/src/coordination/fleet/replica-capacity.ts
+++ b/src/coordination/fleet/replica-capacity.ts
@@ -1,3 +1,5 @@
+/** Capacity for the replicas of service jobs, present and expected ones. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import { tasksByZone, tasksByZoneExcluding, zoneTaskHeadroom } from "../../bookkeeping/zone-rules.js";
--- a/src/coordination/fleet/replica-relocation.ts
+++ b/src/coordination/fleet/replica-relocation.ts
@@ -1,3 +1,5 @@
+/** Relocation of replicas from machines that leave the fleet. */
+
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Machine } from "../../bookkeeping/machine.js";
 import { machineAllowed } from "../../bookkeeping/machine-fit.js";
--- a/src/coordination/fleet/scale-in.ts
+++ b/src/coordination/fleet/scale-in.ts
@@ -1,3 +1,5 @@
+/** Deletion of machines that are empty, unresponsive, unreachable or about to be reclaimed. */
+
 import type { Machine } from "../../bookkeeping/machine.js";
 import type { Clock } from "../ports/clock.js";
 import type { CloudProvider } from "../ports/cloud.js";
@@ -17,6 +19,7 @@
 /** The cloud's limit on the machines of one call. */
 const maxMachinesPerCall = 100;
 
+/** Actions of the fleet that scale-in calls. */
 export interface ScaleInHooks {
 	/** Runs the action in the process's serial executor. */
 	post(action: () => void): void;
--- a/src/coordination/fleet/scale-out.ts
+++ b/src/coordination/fleet/scale-out.ts
@@ -1,3 +1,5 @@
+/** Requests for new machines: the choice of an offer and its repetition until the cloud responds. */
+
 import { Machine } from "../../bookkeeping/machine.js";
 import { maxTasksPerMachine } from "../../bookkeeping/machine-fit.js";
 import type { ScaleOutRequest } from "../../protocol/http/cloud-api.js";
@@ -51,6 +53,7 @@
 	firstSentAt: number;
 }
 
+/** Actions of the fleet that scale-out calls. */
 export interface ScaleOutHooks {
 	/** Runs the action in the process's serial executor. */
 	post(action: () => void): void;
--- a/src/coordination/leadership/worker-reachability.ts
+++ b/src/coordination/leadership/worker-reachability.ts
@@ -124,6 +124,7 @@
 	}
 }
 
+/** True if at least half of the running machines reach the controller. */
 export function atLeastHalfReachable({ running, reachable }: WorkerCounts): boolean {
 	return reachable >= running / 2;
 }
--- a/src/coordination/placement/admitted-placement.ts
+++ b/src/coordination/placement/admitted-placement.ts
@@ -1,3 +1,5 @@
+/** Placement of a placer with team quota. */
+
 import type { JobSpec } from "../../protocol/model/job.js";
 import { taskDemandOf } from "../../protocol/model/job.js";
 import type { Grant, MachineCapacity, Placement } from "../../protocol/peer/messages.js";
--- a/src/coordination/placement/first-fit.ts
+++ b/src/coordination/placement/first-fit.ts
@@ -1,3 +1,5 @@
+/** First-fit placement of granted tasks on machines, as pure functions. */
+
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import { zoneTaskHeadroom } from "../../bookkeeping/zone-rules.js";
--- a/src/coordination/placement/free-capacity.ts
+++ b/src/coordination/placement/free-capacity.ts
@@ -1,3 +1,5 @@
+/** Free capacity of machines, and the simulated placement of replicas on it. */
+
 import type { Machine } from "../../bookkeeping/machine.js";
 import { machineAllowed } from "../../bookkeeping/machine-fit.js";
 import { zoneTaskHeadroom } from "../../bookkeeping/zone-rules.js";
--- a/src/coordination/placement/grants.ts
+++ b/src/coordination/placement/grants.ts
@@ -1,3 +1,5 @@
+/** Grants: how many tasks of each job may start in a placement cycle. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { QuotaBound } from "../../bookkeeping/quota-ledger.js";
 import { tasksByZone } from "../../bookkeeping/zone-rules.js";
@@ -11,6 +13,7 @@
 /** A job is not placed on machines of a type that is unfit for it, for this long after its last failure. */
 const avoidUnfitTypesMs = 60_000;
 
+/** A grant with the team whose quota it uses. */
 export interface TeamGrant {
 	team: string;
 	grant: Grant;
--- a/src/coordination/placement/job-order.ts
+++ b/src/coordination/placement/job-order.ts
@@ -1,3 +1,5 @@
+/** The order in which jobs are served, as pure functions. */
+
 import type { Job } from "../../bookkeeping/job.js";
 import type { TeamQuota } from "../../protocol/model/team-quota.js";
 
--- a/src/coordination/placement/machine-reservations.ts
+++ b/src/coordination/placement/machine-reservations.ts
@@ -1,3 +1,5 @@
+/** Reservations of machines for tasks that would starve beside small ones. */
+
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
--- a/src/coordination/placement/placement-cycle.ts
+++ b/src/coordination/placement/placement-cycle.ts
@@ -1,3 +1,5 @@
+/** The leader's placement cycles, and its placement requests to other controllers. */
+
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Job } from "../../bookkeeping/job.js";
@@ -30,6 +32,7 @@
 	sentAt: number;
 }
 
+/** Dependencies and settings of placement. */
 export interface PlacementOptions {
 	/** This node. */
 	node: string;
--- a/src/coordination/placement/quota-admission.ts
+++ b/src/coordination/placement/quota-admission.ts
@@ -1,3 +1,5 @@
+/** Team quota in one term of the leader. */
+
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Job } from "../../bookkeeping/job.js";
 import { taskDemandOf } from "../../protocol/model/job.js";
@@ -12,6 +14,7 @@
 const limitCheckIntervalMs = 500;
 const chargeVerificationIntervalMs = 10_000;
 
+/** Dependencies of team quota in one term. */
 export interface QuotaAdmissionOptions {
 	quota: TeamQuotaPort;
 	leaderQuota: LeaderQuotaPort;
--- a/src/coordination/ports/team-quota.ts
+++ b/src/coordination/ports/team-quota.ts
@@ -1,3 +1,5 @@
+/** Team quota, as coordination uses it. */
+
 import type { QuotaCharge } from "../../bookkeeping/quota-ledger.js";
 import type { Revision, Term } from "../../protocol/model/identifiers.js";
 import type { TaskDemand } from "../../protocol/model/job.js";
--- a/src/coordination/preemption/preemption-cycle.ts
+++ b/src/coordination/preemption/preemption-cycle.ts
@@ -1,3 +1,5 @@
+/** The leader's preemption cycles. */
+
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Job } from "../../bookkeeping/job.js";
 import { randomSample } from "../placement/first-fit.js";
--- a/src/coordination/preemption/preemption-planner.ts
+++ b/src/coordination/preemption/preemption-planner.ts
@@ -1,3 +1,5 @@
+/** The choice of the tasks that are preempted for waiting ones. */
+
 import type { Attempt } from "../../bookkeeping/attempt.js";
 import type { Job } from "../../bookkeeping/job.js";
 import type { Machine } from "../../bookkeeping/machine.js";
--- a/src/protocol/schema-checks.ts
+++ b/src/protocol/schema-checks.ts
@@ -33,6 +33,7 @@
 	v.maxLength(maxNameLength, `must have at most ${maxNameLength} characters`),
 );
 
+/** A truth value. */
 export const boolean = v.boolean("must be true or false");
 
 /** An optional field; a missing field and null are both read as null. */
--- a/src/quota-command.ts
+++ b/src/quota-command.ts
@@ -1,3 +1,5 @@
+/** `ramphub quota`: operators read and change teams' limits directly in the state service. */
+
 import { Command, InvalidArgumentError } from "commander";
 import {
 	LimitChangeError,
@@ -22,8 +24,6 @@
 import { HttpClient } from "./transport/clients/http-client.js";
 import { StoreClient } from "./transport/clients/store-client.js";
 
-/** `ramphub quota`: operators read and change teams' limits directly in the state service. */
-
 /** Thrown if the command fails. Exit code 2: the request is refused; 1: the state service fails, or writes conflict. */
 export class QuotaCommandError extends Error {
 	constructor(
@@ -53,6 +53,7 @@
 	return value;
 }
 
+/** Returns the command with its subcommands `show` and `set`. */
 export function quotaCommand(clock: Clock): Command {
 	const quota = new Command("quota").description("Shows and changes teams' limits.").exitOverride();
 	const withCommonOptions = (command: Command) =>
--- a/src/team-quota.ts
+++ b/src/team-quota.ts
@@ -1,3 +1,5 @@
+/** Connects team quota to the state service, the clock and the settings of the platform and of operators. */
+
 import { limitAmount, QuotaParticipant, QuotaService, type QuotaStore, type StoredChange } from "#team-quota";
 import type { Clock } from "./coordination/ports/clock.js";
 import type { Log } from "./coordination/ports/log.js";
@@ -7,8 +9,6 @@
 import type { OperatorSettings } from "./protocol/settings/operator.js";
 import type { PlatformSettings } from "./protocol/settings/platform.js";
 
-/** Connects team quota to the state service, the clock and the settings of the platform and of operators. */
-
 /** Maximum size of written values, relative to the largest value that the state service accepts. */
 const maxValueFraction = 0.8;
 
@@ -33,6 +33,7 @@
 	};
 }
 
+/** Dependencies and settings of team quota in this process. */
 export interface TeamQuotaDependencies {
 	platform: PlatformSettings;
 	operator: OperatorSettings;
--- a/src/transport/public/request-body.ts
+++ b/src/transport/public/request-body.ts
@@ -1,5 +1,6 @@
 /** Reads the bodies of requests up to a maximum size. */
 
+/** Largest body of a request that is read, in bytes (PROTOCOL, first section). */
 export const maxBodyBytes = 64 * 1024;
 
 /** The error message for a larger body. */
