Submissions: every page of done tasks of an accepted job is reserved as a partial one

Found by reading the change once more. What callers would see: with some 1,600 accepted arrays of 100,000 tasks of which one task in each page of 4,096 runs on, the leader and every next one would run out of memory, although all were accepted within the bound.

Cause: the bound reserved one partial page for each job, with the argument that tasks start in ascending order; but a page stays partial as long as one of its tasks runs, whatever is done after it. Evidence: load-accepted-jobs with the first task of every page not done ends with "heap out of memory" at the 1,626 jobs that were accepted; with full pages it passes.

Change: each page counts with its texts and bits (3.3 KB). 407 arrays of 100,000 tasks are accepted, and load, lead and reload in both states. Jobs up to 4,096 tasks count as before (7,424 of 18 tasks, 458 with descriptions of 12 KB). All 992 tests pass.

--- a/src/bookkeeping/job-memory.ts
+++ b/src/bookkeeping/job-memory.ts
@@ -24,14 +24,14 @@
 const partialPageCopies = 4;
 
 /**
- * Returns the bytes that a job may take until its end. All full pages share one text. Since tasks start in ascending
- * order, and those that wait again start first, a job has at most one partial page for each of its attempts and one more.
+ * Returns the bytes that a job may take until its end. Any page may be partial for as long as one of its tasks runs, also
+ * after all later tasks are done.
  */
 export function liveJobBytes(spec: JobSpec): number {
 	const recordBytes = recordCopies * bytesPerCharacter * characters(spec);
 	const pages = Math.ceil(spec.taskCount / tasksPerPage);
-	const partialPageBytes = partialPageCopies * pageTextLength(Math.min(spec.taskCount, tasksPerPage));
-	return objectBytes + recordBytes + pages * pageEntryBytes + partialPageBytes;
+	const textBytes = partialPageCopies * pageTextLength(Math.min(spec.taskCount, tasksPerPage));
+	return objectBytes + recordBytes + pages * (pageEntryBytes + textBytes);
 }
 
 function characters({ id, jobClass, team, image, zone, machineTypes }: JobSpec): number {
