--- a/review/common-2/cluster.mjs
+++ b/review/common-2/cluster.mjs
@@ -39,6 +39,7 @@
 		...site.teams.flatMap((t) => ["[[cluster.teams]]", `name = "${t.name}"`, `cpus = ${number(t.cpus)}`, `cpus_max = ${number(t.cpus_max)}`, "gpus = 0.0", "gpus_max = 0.0"]),
 		"[cluster.workers]", `report_s = ${number(workers.report_s)}`, `lease_s = ${number(workers.lease_s)}`, "gang_wait_s = 45.0", "gang_peer_s = 4.0", `cancel_s = ${number(workers.cancel_s)}`,
 		"[cluster.state]", `rps = ${number(state.rps)}`, `write_rps = ${number(state.write_rps)}`, `value_kb = ${number(state.value_kb)}`, `txn_ops = ${state.txn_ops}`,
+		...(state.next ? ["[cluster.state.next]", ...Object.entries(state.next).map(([k, v]) => `${k} = ${k === "txn_ops" ? v : number(v)}`)] : []),
 		"[cluster.cloud]", `rps = ${number(cloud.rps)}`, `list_lag_s = ${number(cloud.list_lag_s)}`,
 		"[cluster.resources]", `cores = ${resources.cores}`, `ram_mb = ${number(resources.ram_mb)}`, `fd_limit = ${resources.fd_limit}`,
 	].join("\n");
@@ -56,8 +57,12 @@
 	workers = new Map();
 	lines = [];
 	violations = [];
+	/** Limits of teams that operators have changed by command, in CPUs. */
+	limits = new Map();
 	startedAt = performance.now();
 	starts = 0;
+	/** Jobs of which a task has started. */
+	everStarted = new Set();
 	/** Controllers that ended although the test did not end them. */
 	unexpectedEnds = [];
 	stopping = false;
@@ -196,6 +201,7 @@
 	taskStarted(worker, attempt) {
 		const { piece, job } = attempt;
 		this.starts += 1;
+		this.everStarted.add(job.id);
 		this.record(`${worker.id}: ${piece} (try ${attempt.try}) starts`);
 		for (const other of this.machinesWith(piece))
 			if (other !== worker) {
@@ -205,8 +211,8 @@
 		if (job.cancelledAt && performance.now() - job.cancelledAt > this.site.workers.cancel_s * 1000)
 			this.violated("ran_cancelled", `${piece} starts`);
 		const used = this.teamUse(job.desk);
-		const team = this.site.teams.find(({ name }) => name === job.desk);
-		if (team.cpus_max > 0 && used > team.cpus_max + 1e-6) this.violated("quota", `${job.desk} uses ${used} of ${team.cpus_max}`);
+		const limit = this.limits.get(job.desk) ?? this.site.teams.find(({ name }) => name === job.desk).cpus_max;
+		if (limit > 0 && used > limit + 1e-6) this.violated("quota", `${piece} starts, and ${job.desk} uses ${used} CPUs of ${limit}`);
 		const { shape, hall, loaners } = worker.host;
 		if ((job.shapes && !job.shapes.includes(shape)) || (job.hall && job.hall !== hall) || (loaners && !job.loaners))
 			this.violated("wrong_place", `${piece} starts on ${worker.id}`);
