--- a/review/common-2/cluster.mjs
+++ b/review/common-2/cluster.mjs
@@ -324,6 +324,8 @@
 		setTimeout(() => process.exit(code), 300).unref();
 	}
 	for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, () => finish(2, "interrupted"));
+	// A fault of a stand-in must not look like a broken rule.
+	process.on("uncaughtException", (error) => finish(2, `the case could not run: ${error.stack}`));
 	try {
 		const held = await play(cluster, trouble);
 		if (finished) return;
