--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,21 +1,23 @@
 // A leader ends while some machines hang; they go on for a moment, hang again, and go on within their leases.
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { norte, runCase } from "../common-2/cluster.mjs";
+import { annaFleet, runCase } from "../common-2/cluster.mjs";
 import { sleep } from "../common-2/http.mjs";
 
 const folder = dirname(fileURLToPath(import.meta.url));
 const hungMachines = 4;
-const firstHangEndsAfterS = 5;
+const firstHangEndsAfterS = 3.5;
 const goesOnForMs = 250;
-const secondHangS = 8.5;
+const secondHangS = 15.5;
 
-/** Long tasks on some 20 machines, and short ones, so that there is always a machine with room soon. */
+/** Long tasks on some 45 machines, and short ones, so that there is always a machine with room soon. */
 async function fill(cluster) {
 	let number = 1;
-	for (let i = 0; i < 8; i++) void cluster.submit(cluster.job(number++, { pieces: 5, urgency: "urgent", guess_s: 120.0 }), 110);
-	for (let i = 0; i < 6; i++) void cluster.submit(cluster.job(number++, { pieces: 8, guess_s: 6.0 }), 6);
-	return setInterval(() => void cluster.submit(cluster.job(number++, { pieces: 4, guess_s: 6.0 }), 6), 1500);
+	for (let i = 0; i < 6; i++)
+		void cluster.submit(cluster.job(number++, { lane: "expiry-sweep", pieces: 15, urgency: "urgent", ram_gb: 3.0, guess_s: 110.0 }), 110);
+	const short = (pieces) => cluster.submit(cluster.job(number++, { lane: "ledger-sync", pieces, ram_gb: 1.1, guess_s: 6.0 }), 6);
+	for (let i = 0; i < 6; i++) void short(8);
+	return setInterval(() => void short(4), 1500);
 }
 
 const longTasksOn = (worker) => [...worker.attempts.values()].filter((a) => a.status === "running" && a.job.run_s > 60);
@@ -75,19 +77,19 @@
 	return back.length > 0;
 }
 
-await runCase("review/4", "ran_twice", norte, join(folder, "record.txt"), async (cluster, trouble) => {
+await runCase("review/4", "ran_twice", annaFleet, join(folder, "record.txt"), async (cluster, trouble) => {
 	await cluster.start();
 	if (!(await cluster.ready())) return null;
 	const load = await fill(cluster);
-	const full = await waitFor(() => [...cluster.workers.values()].filter((w) => longTasksOn(w).length > 0).length >= 12, 30);
+	const full = await waitFor(() => [...cluster.workers.values()].filter((w) => longTasksOn(w).length > 0).length >= 30, 30);
 	if (!full) return null;
 	await sleep(4000);
 	let rounds = 0;
-	while (cluster.violations.length === 0 && cluster.t < 80) {
+	while (cluster.violations.length === 0 && cluster.t < 85) {
 		if (trouble) {
 			if (await round(cluster)) rounds += 1;
 		} else {
-			await sleep(20_000);
+			await sleep(25_000);
 			rounds += 1;
 		}
 	}
--- a/review/common-2/cluster.mjs
+++ b/review/common-2/cluster.mjs
@@ -27,6 +27,22 @@
 	oneWayMs: 2,
 };
 
+/** The numbers of the site anna-bhandar-fleet (kit/fleet/LATER.md), with one machine type, quick boots and 60 machines. */
+export const annaFleet = {
+	controllers: 3,
+	zones: ["ahmedabad", "rajkot", "surat", "vadodara"],
+	workers: { report_s: 3, lease_s: 17, cancel_s: 37 },
+	state: { rps: 120, write_rps: 30, value_kb: 16, txn_ops: 12 },
+	cloud: { rps: 2, list_lag_s: 4 },
+	resources: { cores: 0.136, ram_mb: 190, fd_limit: 1434 },
+	teams: Array.from({ length: 10 }, (_, i) => ({ name: `stock-cell-${String(i).padStart(2, "0")}`, cpus: 350, cpus_max: 1500 })),
+	types: [{ sku: "thali", cores: 4, accelerators: 0, ram_gb: 8, local_gb: 35, fetch_gb_per_s: 0.25, rate: 0.26, market_price: 0.1, boot_s: 50, halls: ["ahmedabad", "rajkot", "surat", "vadodara"] }],
+	capacity: 60,
+	bootS: 1.5,
+	restartS: 8,
+	oneWayMs: 1,
+};
+
 function settingsToml(site, node, nodes, endpoints) {
 	const { workers, state, cloud, resources } = site;
 	const number = (value) => (Number.isInteger(value) ? `${value}.0` : String(value));
