A response to a heartbeat that crossed a probe renews the worker's lease at the leader too

The new leader started them elsewhere up to 2.9 s before the machine's lease ended.

Cause: the worker's response to a probe has a sequence number like a heartbeat. The leader took the heartbeat that it crossed for a late copy and answered 200 without counting the lease anew; its worker still waited, and renewed.

Change: the lease counts from the receipt of the latest message of the worker when an older heartbeat is answered. The older one was sent before that, so the count is never too short, for any late copy, and a copy prolongs no lease further.

Tests: worker-leases.test.ts plays random failures and compares both counts at each renewal.

--- a/src/bookkeeping/worker-agent.ts
+++ b/src/bookkeeping/worker-agent.ts
@@ -129,6 +129,17 @@
 		this.#lastResponseAt = now;
 	}
 
+	/**
+	 * Records a response to a heartbeat that is older than the latest one. It may renew the lease, if the latest one is
+	 * the worker's response to a direct command, which crosses heartbeats. The older one was sent before the latest was
+	 * received, so the lease counts from then and not from this response: the heartbeat may be a late copy. Test: "the
+	 * response to a heartbeat that crossed the response to a direct command" in
+	 * tests/coordination/workers/heartbeat-service.test.ts.
+	 */
+	outdatedResponseSent(): void {
+		this.#lastResponseAt = Math.max(this.#lastResponseAt, this.#lastHeartbeatAt);
+	}
+
 	/** Records that the worker was redirected to another controller. */
 	redirectSent(now: number): void {
 		this.#lastRedirectAt = now;
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -20,6 +20,7 @@
 import type { RunningTaskCounts } from "./running-task-counts.js";
 import type { PauseDetector } from "./runtime/pause-detector.js";
 import type { SerialExecutor } from "./runtime/serial-executor.js";
+import type { ClusterState } from "./state/cluster-state.js";
 import type { TermSupervisor } from "./term-supervisor.js";
 import type { HeartbeatResponse, HeartbeatRouter } from "./workers/heartbeat-router.js";
 
@@ -71,6 +72,11 @@
 		return this.components.replica;
 	}
 
+	/** The state of the leader in this process, whether or not it may act; null: there is none. */
+	get clusterState(): ClusterState | null {
+		return this.components.termSupervisor.leader?.clusterState ?? null;
+	}
+
 	/** Starts the synchronization with the store and the ticks. */
 	start(): void {
 		this.components.replicaSync.start();
--- a/src/coordination/workers/heartbeat-reconciliation.ts
+++ b/src/coordination/workers/heartbeat-reconciliation.ts
@@ -4,6 +4,11 @@
  * A worker has at most one heartbeat in flight. When it sends one with a larger (agent epoch, sequence), the response
  * to the previous one has been executed or can no longer be executed, so a task that the new heartbeat does not list is
  * not on the machine. Late copies of earlier heartbeats are ignored.
+ *
+ * The response to a direct command has the form and the sequence number of a heartbeat, but may cross one whose response
+ * is still awaited. Only responses to probes are reconciled: before the machine is reconciled, and so before any start is
+ * sent to it that they could seem to lack (`failover.ts`). The heartbeat that a probe's response crossed is outdated, but
+ * the response to it may renew the lease (`WorkerAgent.outdatedResponseSent`).
  */
 
 import type { Attempt } from "../../bookkeeping/attempt.js";
@@ -34,7 +39,7 @@
 
 /** The reason why a heartbeat is rejected without effect. */
 export type HeartbeatRefusal =
-	/** The heartbeat is older than the latest one, or a copy of it. */
+	/** The heartbeat is older than the latest heartbeat or response to a probe, or a copy of it. */
 	| "outdated"
 	/** The heartbeat belongs to a lease that has expired, and a response must not renew that lease. */
 	| "lease expired"
--- a/src/coordination/workers/heartbeat-service.ts
+++ b/src/coordination/workers/heartbeat-service.ts
@@ -101,7 +101,7 @@
 			case "unknown machine type":
 				return refusedResponse;
 			case "outdated":
-				return Promise.resolve([]);
+				return this.respondToOutdated(heartbeat);
 			case "reconciled":
 				return this.respond(result.machine, now);
 		}
@@ -125,6 +125,20 @@
 		return this.pending.hold(machine.id, now + holdMs, "idle");
 	}
 
+	/**
+	 * Returns no commands for a heartbeat that is older than the latest one. The worker may still wait for this response,
+	 * and then it renews the lease.
+	 */
+	private respondToOutdated({ machineId, sequence }: WorkerHeartbeat): Promise<WorkerCommand[] | null> {
+		const agent = this.options.clusterState.machines.get(machineId)?.agent;
+		agent?.outdatedResponseSent();
+		this.options.log.debug(
+			{ machineId, sequence, latestSequence: agent?.sequence },
+			"outdated heartbeat answered",
+		);
+		return Promise.resolve([]);
+	}
+
 	/** Returns the commands for a response sent now, which may renew the lease; null: this process may not respond. */
 	private commandsFor(machine: Machine): WorkerCommand[] | null {
 		if (!this.options.active()) return null;
--- a/tests/bookkeeping/worker-agent.test.ts
+++ b/tests/bookkeeping/worker-agent.test.ts
@@ -57,6 +57,15 @@
 		agent.redirectSent(400);
 		assert.deepEqual([agent.lastResponseAt, agent.lastRedirectAt], [300, 400]);
 	});
+
+	test("counts a response to an outdated heartbeat from the receipt of the latest one, and never backwards", () => {
+		const agent = runningAgent();
+		agent.outdatedResponseSent();
+		assert.equal(agent.lastResponseAt, 100);
+		agent.responseSent(300);
+		agent.outdatedResponseSent();
+		assert.equal(agent.lastResponseAt, 300);
+	});
 });
 
 describe("the expiry of a worker's lease", () => {
--- a/tests/coordination/workers/heartbeat-service.test.ts
+++ b/tests/coordination/workers/heartbeat-service.test.ts
@@ -1,15 +1,23 @@
 import assert from "node:assert/strict";
 import { describe, test } from "node:test";
-import type { Machine } from "../../../src/bookkeeping/machine.js";
+import { Machine } from "../../../src/bookkeeping/machine.js";
 import { TickDelay } from "../../../src/coordination/runtime/tick-delay.js";
 import { DirectCommandSender } from "../../../src/coordination/workers/direct-command-sender.js";
 import { FaultAttribution } from "../../../src/coordination/workers/fault-attribution.js";
 import { HeartbeatService } from "../../../src/coordination/workers/heartbeat-service.js";
+import { LeaseMonitor } from "../../../src/coordination/workers/lease-monitor.js";
 import { OrphanCleanup } from "../../../src/coordination/workers/orphan-cleanup.js";
 import type { AttemptNumber } from "../../../src/protocol/model/identifiers.js";
 import type { WorkerCommand, WorkerHeartbeat } from "../../../src/protocol/model/worker.js";
 import { FakeTime } from "../../support/fake-time.js";
-import { heartbeat, stateWithJob, taskStatus, term } from "../../support/reconciliation-setup.js";
+import {
+	heartbeat,
+	machineType,
+	stateWithJob,
+	taskStatus,
+	term,
+	workerLeaseExpiryMs,
+} from "../../support/reconciliation-setup.js";
 import { silentLog } from "../../support/silent-log.js";
 
 /** The heartbeat service of a leader with a job of four tasks; collects the recorded machines and direct commands. */
@@ -90,6 +98,11 @@
 	}
 }
 
+/** A machine of an earlier leader's record, with which the term begins. */
+function recordedMachine(): Machine {
+	return new Machine({ id: "n-1", type: machineType, zone: "a", spot: true, origin: "record" }, 0);
+}
+
 describe("a heartbeat that the leader may not answer", () => {
 	test("is refused if the leader may not act, the worker has a later leader's token, or the machine is deleted", async () => {
 		const setup = new Setup();
@@ -182,6 +195,53 @@
 	});
 });
 
+describe("the response to a heartbeat that crossed the response to a direct command", () => {
+	const probedAtMs = 3500;
+
+	/** Adds a machine whose worker responds to a probe; an earlier heartbeat of it has not arrived yet. */
+	async function probedMachine(setup: Setup): Promise<Machine> {
+		await setup.clock.advance(probedAtMs);
+		setup.service.reconcile(heartbeat(11));
+		const machine = setup.clusterState.machines.get("n-1");
+		assert.ok(machine);
+		await setup.clock.advance(10);
+		return machine;
+	}
+
+	// The worker renewed its lease by that response, and the leader did not: tasks ran twice (review/4).
+	test("renews the lease from the receipt of the latter", async () => {
+		const setup = new Setup();
+		setup.clusterState.addMachine(recordedMachine());
+		const machine = await probedMachine(setup);
+		const crossed = setup.handle(heartbeat(10, [], { fencingToken: term - 1 }));
+		await setup.clock.advance(1);
+		assert.deepEqual(crossed.commands, []);
+		assert.equal(machine.agent.lastResponseAt, probedAtMs);
+		const monitor = new LeaseMonitor(setup.clusterState, 0, silentLog);
+		monitor.tick(probedAtMs + workerLeaseExpiryMs, false);
+		assert.equal(machine.agent.leaseExpired, false);
+		monitor.tick(probedAtMs + workerLeaseExpiryMs + 1, false);
+		assert.equal(machine.agent.leaseExpired, true);
+	});
+
+	test("renews the lease no longer if it is a late copy, so that a lost machine's tasks start elsewhere in time", async () => {
+		const setup = new Setup();
+		setup.clusterState.addMachine(recordedMachine());
+		const machine = await probedMachine(setup);
+		await setup.clock.advance(8000);
+		setup.handle(heartbeat(10, [], { fencingToken: term - 1 }));
+		await setup.clock.advance(1);
+		assert.equal(machine.agent.lastResponseAt, probedAtMs);
+	});
+
+	test("renews nothing if only the probe has been answered", async () => {
+		const setup = new Setup();
+		setup.clusterState.addMachine(recordedMachine());
+		const machine = await probedMachine(setup);
+		assert.equal(machine.agent.lastResponseAt, 0, "the lease dates from before the term");
+	});
+});
+
 describe("the start of an attempt on a machine without a pending heartbeat", () => {
 	/** Adds a machine without a pending heartbeat, whose worker lists an exited attempt that can be forgotten. */
 	async function machineWithTrigger(setup: Setup): Promise<Machine> {
--- /dev/null
+++ b/tests/service/worker-leases.test.ts
@@ -0,0 +1,26 @@
+import assert from "node:assert/strict";
+import { describe, test } from "node:test";
+import { playRandomFailures } from "../support/random-failures.js";
+
+/**
+ * Guards against a lease that the worker counts longer than the leader: then tasks start elsewhere while they run. The
+ * world compares both at every response that renews a lease, whatever it answers: heartbeats that cross probes, held,
+ * superseded and forwarded responses, later agent epochs, the next leader, and controllers of versions up to 0.8.0.
+ */
+describe("no leader counts a worker's lease shorter than the worker does, under random failures", () => {
+	const firstSeed = Number(process.env.FIRST_SEED ?? 1);
+	const seeds = Number(process.env.SEEDS ?? 12);
+	for (let seed = firstSeed; seed < firstSeed + seeds; seed++) {
+		test(`seed ${seed}`, async () => {
+			const { world } = await playRandomFailures({
+				seed,
+				forwarding: seed % 2 === 0,
+				teamQuota: seed % 3 === 0,
+				lateCopies: null,
+				mixedVersions: seed % 4 === 0,
+			});
+			assert.deepEqual(world.violations, []);
+			assert.ok(world.startedAttempts.length >= 20, `only ${world.startedAttempts.length} starts`);
+		});
+	}
+});
--- a/tests/support/network.ts
+++ b/tests/support/network.ts
@@ -19,6 +19,8 @@
 	dropResponse?: boolean;
 	/** Delays the request; it is carried out even if its sender has timed out by then. */
 	delayMs?: number;
+	/** Delays the response. */
+	responseDelayMs?: number;
 }
 
 /** HTTP calls between hosts in fake time, with injected network faults. */
@@ -69,7 +71,7 @@
 		const commandCount = (body as { orders?: unknown[] } | undefined)?.orders?.length ?? 0;
 		if (path === "/commands" && commandCount > 0 && this.directCommandDelayMs > 0)
 			fault.delayMs ??= this.directCommandDelayMs;
-		const responseDelayMs = to === "state" ? this.storeDelayMs : 0;
+		const responseDelayMs = (fault.responseDelayMs ?? 0) + (to === "state" ? this.storeDelayMs : 0);
 		const receivedBody = body === undefined ? undefined : parseJson(stringifyJson(body));
 		return new Promise((resolve, reject) => {
 			const fail = (outcome: CallOutcome, reason: string) =>
--- a/tests/support/worker.ts
+++ b/tests/support/worker.ts
@@ -18,6 +18,8 @@
 	runSeconds(task: string): number | null;
 	/** True if the task fails on this machine because its job is faulty. */
 	failsTask(worker: FakeWorker, task: string): boolean;
+	/** Called when a response renews the lease from the sending of its heartbeat on. */
+	leaseRenewed?(worker: FakeWorker, sentAt: number): void;
 	/** Called with each start that the worker executes. */
 	attemptStarted?(task: string, attempt: Uint64): void;
 	taskStarted(worker: FakeWorker, task: string): void;
@@ -82,6 +84,11 @@
 		);
 	}
 
+	/** True if the lease has expired, and the worker ends its tasks as soon as it does not hang. */
+	get leaseExpired(): boolean {
+		return this.time.now() - this.leaseRenewedAt > this.environment.leaseS * 1000;
+	}
+
 	hang(): void {
 		this.queuedWhileHung ??= [];
 	}
@@ -91,7 +98,7 @@
 		this.queuedWhileHung = null;
 		if (queued.length > 0 && !this.terminated) {
 			// The lease is checked before anything queued is processed.
-			if (this.time.now() - this.leaseRenewedAt > this.environment.leaseS * 1000) this.expireLease();
+			if (this.leaseExpired) this.expireLease();
 			for (const action of queued) action();
 		}
 	}
@@ -108,7 +115,7 @@
 			return;
 		}
 		const now = this.time.now();
-		if (now - this.leaseRenewedAt > this.environment.leaseS * 1000) this.expireLease();
+		if (this.leaseExpired) this.expireLease();
 		if (!this.heartbeatInFlight && now >= this.nextHeartbeatAt) void this.sendHeartbeat();
 		this.time.after(50, () => this.step());
 	}
@@ -208,6 +215,7 @@
 			this.advanceNextHeartbeat();
 		}
 		this.leaseRenewedAt = Math.max(this.leaseRenewedAt, sentAt);
+		this.environment.leaseRenewed?.(this, sentAt);
 		this.executeCommands(body.orders as Record<string, unknown>[]);
 	}
 
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -18,7 +18,8 @@
 import { FakeCloud } from "./cloud.js";
 import { type ControllerProcess, PausableExecutor, WorkerConnections } from "./controller-process.js";
 import { FakeTime } from "./fake-time.js";
-import { FakeNetwork } from "./network.js";
+import type { CopiedMessage, LateCopies } from "./late-copies.js";
+import { FakeNetwork, type Handler } from "./network.js";
 import { StateService } from "./state-service.js";
 import { type PeerMessageOnWire, UnnamedProcess } from "./unnamed-process.js";
 import { FakeWorker, type WorkerEnvironment } from "./worker.js";
@@ -92,6 +93,9 @@
 	/** Delays after which a copy of every heartbeat arrives at the node to which it was sent. */
 	duplicateHeartbeatsAfterS: number[] = [];
 
+	/** Delivers late copies of all messages; null: there are none. */
+	lateCopies: LateCopies | null = null;
+
 	/** True if workers' connections to a process that ends are reset; false: they hang until the worker times out. */
 	connectionsResetOnCrash = false;
 
@@ -157,6 +161,7 @@
 		leaseS: 10,
 		nodes: [],
 		countersBefore: 0,
+		leaseRenewed: (worker, sentAt) => this.checkLeaseRenewal(worker, sentAt),
 		attemptStarted: (task, attempt) => this.startedAttempts.push({ task, attempt }),
 		runSeconds: (task) => {
 			const [id, index] = task.split("/") as [string, string];
@@ -190,7 +195,11 @@
 		const executor = new PausableExecutor();
 		const clock = executor.clock(this.time);
 		const store = executor.caller(
-			this.network.caller(id, "state", (m, p, b) => this.state.handle(m, p, b, node)),
+			this.network.caller(
+				id,
+				"state",
+				this.withLateCopies("store request", (m, p, b) => this.state.handle(m, p, b, node)),
+			),
 		);
 		const operator = defaultOperatorSettings();
 		operator.team_quota.enabled = this.teamQuota;
@@ -205,18 +214,25 @@
 		const ports: ControllerPorts = {
 			store: storeClient,
 			cloud: new CloudClient(
-				executor.caller(this.network.caller(id, "cloud", (m, p, b) => this.cloud.handle(m, p, b))),
+				executor.caller(
+					this.network.caller(
+						id,
+						"cloud",
+						this.withLateCopies("cloud request", (m, p, b) => this.cloud.handle(m, p, b)),
+					),
+				),
 				clock,
 				5,
 			),
 			workers: new WorkerClient((endpoint) => {
 				const host = endpoint.split(":")[0] as string;
-				const caller = this.network.caller(id, host, (_m, _p, body) => {
-					const worker = this.workers.get(host);
-					if (!worker || worker.terminated || worker.partitioned || worker.inboundDropped)
-						return new Promise<HttpResponse>(() => {});
-					return worker.receiveCommands(body as Record<string, unknown>);
-				});
+				const caller = this.network.caller(
+					id,
+					host,
+					this.withLateCopies("direct command", (_method, _path, body) =>
+						this.deliverCommands(host, body as Record<string, unknown>),
+					),
+				);
 				return executor.caller(caller);
 			}),
 			peers: { send: (to, message) => this.sendPeerMessage(id, node, to, message) },
@@ -296,20 +312,33 @@
 		return this.processes.get(node)?.controller.ready() ?? false;
 	}
 
+	/** Returns a handler that also gets late copies of requests that change something. */
+	private withLateCopies(kind: CopiedMessage, handler: Handler): Handler {
+		return (method, path, body, from) => {
+			if (method !== "GET") this.lateCopies?.consider(kind, () => void handler(method, path, body, from));
+			return handler(method, path, body, from);
+		};
+	}
+
 	private sendPeerMessage(fromId: string, from: string, to: string, message: unknown): void {
 		const sender = this.processes.get(from)?.unnamed;
 		const bytes = encodeFrame(sender ? sender.outgoing(message as PeerMessageOnWire) : message);
+		this.lateCopies?.consider("controller message", () => this.deliverPeerMessage(from, to, bytes));
 		this.time.after(2, () => {
 			if (this.network.isDown(fromId) || this.peerIsolatedNodes.has(from) || this.peerIsolatedNodes.has(to))
 				return;
-			const process = this.processes.get(to);
-			for (const m of new FrameReader().push(bytes)) {
-				const received = process?.unnamed ? process.unnamed.incoming(m as PeerMessageOnWire) : m;
-				process?.executor.runOrQueue(() => process.controller.receivePeerMessage(from, received));
-			}
+			this.deliverPeerMessage(from, to, bytes);
 		});
 	}
 
+	private deliverPeerMessage(from: string, to: string, bytes: Buffer): void {
+		const process = this.processes.get(to);
+		for (const m of new FrameReader().push(bytes)) {
+			const received = process?.unnamed ? process.unnamed.incoming(m as PeerMessageOnWire) : m;
+			process?.executor.runOrQueue(() => process.controller.receivePeerMessage(from, received));
+		}
+	}
+
 	/** Cuts a controller off from the other controllers only. */
 	setPeerIsolation(node: string, isolated: boolean): void {
 		if (isolated) this.peerIsolatedNodes.add(node);
@@ -326,12 +355,12 @@
 
 	private async sendHeartbeat(worker: FakeWorker, node: string, body: Record<string, unknown>) {
 		const sentBody = stringifyJson(body);
-		for (const seconds of this.duplicateHeartbeatsAfterS) {
-			this.time.after(seconds * 1000, () => {
-				const process = this.processes.get(node);
-				process?.executor.runOrQueue(() => void process.controller.handleHeartbeat(parseHeartbeat(sentBody)));
-			});
-		}
+		for (const seconds of this.duplicateHeartbeatsAfterS)
+			this.time.after(seconds * 1000, () => this.deliverHeartbeatCopy(node, sentBody));
+		this.lateCopies?.consider("heartbeat", () => this.deliverHeartbeatCopy(node, sentBody));
+		this.lateCopies?.consider("heartbeat", () =>
+			this.deliverHeartbeatCopy(this.leaderNode() ?? node, sentBody),
+		);
 		return new Promise<HttpResponse | undefined>((resolve) => {
 			this.time.after(4000, () => resolve(undefined));
 			const process = this.processes.get(node);
@@ -359,12 +388,41 @@
 					const text = stringifyJson(response);
 					if (Buffer.byteLength(text) > maxBodyBytes)
 						this.violations.push(`response to ${worker.host} has ${Buffer.byteLength(text)} bytes`);
-					this.time.after(2, () => resolve(parseJson(text) as HttpResponse));
+					const responseDelayMs = 2 + (fault.responseDelayMs ?? 0);
+					this.time.after(responseDelayMs, () => resolve(parseJson(text) as HttpResponse));
 				});
 			});
 		});
 	}
 
+	/** Delivers a late copy of a heartbeat; nobody receives the response to it. */
+	private deliverHeartbeatCopy(node: string, body: string): void {
+		const process = this.processes.get(node);
+		process?.executor.runOrQueue(() => void process.controller.handleHeartbeat(parseHeartbeat(body)));
+	}
+
+	private deliverCommands(host: string, body: Record<string, unknown>): Promise<HttpResponse> {
+		const worker = this.workers.get(host);
+		if (!worker || worker.terminated || worker.partitioned || worker.inboundDropped)
+			return new Promise<HttpResponse>(() => {});
+		return worker.receiveCommands(body);
+	}
+
+	/**
+	 * Checks that every leader of the worker's token or a later one counts the lease from the sending of the answered
+	 * heartbeat or from a later time.
+	 */
+	private checkLeaseRenewal(worker: FakeWorker, sentAt: number): void {
+		for (const { id, controller } of this.processes.values()) {
+			const { clusterState } = controller;
+			const agent = clusterState?.machines.get(worker.host)?.agent;
+			if (!clusterState || !agent || clusterState.term < worker.fencingToken) continue;
+			if (agent.lastResponseAt >= sentAt) continue;
+			const shortMs = Math.round(sentAt - agent.lastResponseAt);
+			this.violations.push(`lease: ${id} counts the lease of ${worker.host} ${shortMs} ms too short`);
+		}
+	}
+
 	workerOf(task: string): FakeWorker {
 		const worker = this.workers.get(this.machineByTask.get(task) ?? "");
 		if (!worker) throw new Error(`${task} is on no machine`);
