A response to a heartbeat that crossed a probe contains the stops of tasks that are to end

Cause: the bound on stale cancellations assumes that each response that renews a lease also stops the tasks of cancelled jobs. The response to a heartbeat that crossed a probe renews the lease and had no commands.

Change: it contains the stops of orphaned tasks and of attempts that are to end, and no starts. stopCommandsFor is the part of issueCommands that makes them.

--- a/src/coordination/workers/heartbeat-service.ts
+++ b/src/coordination/workers/heartbeat-service.ts
@@ -21,7 +21,7 @@
 import { PendingHeartbeats } from "./pending-heartbeats.js";
 import { stopBeforeReclaim } from "./spot-reclaim.js";
 import type { AttemptOutcome } from "./task-reconciliation.js";
-import { issueCommands } from "./worker-commands.js";
+import { issueCommands, stopCommandsFor } from "./worker-commands.js";
 
 /** Maximum time that a response is held for a placement, so that the same response fills the freed capacity. */
 const placementHoldMs = 150;
@@ -126,17 +126,17 @@
 	}
 
 	/**
-	 * Returns no commands for a heartbeat that is older than the latest one. The worker may still wait for this response,
-	 * and then it renews the lease.
+	 * Returns the commands for the response to a heartbeat that is older than the latest one. The worker may still wait for
+	 * it, and then it renews the lease; so it contains the stops. Starts would be lost if the heartbeat is a late copy.
 	 */
 	private respondToOutdated({ machineId, sequence }: WorkerHeartbeat): Promise<WorkerCommand[] | null> {
-		const agent = this.options.clusterState.machines.get(machineId)?.agent;
-		agent?.outdatedResponseSent();
-		this.options.log.debug(
-			{ machineId, sequence, latestSequence: agent?.sequence },
-			"outdated heartbeat answered",
-		);
-		return Promise.resolve([]);
+		const machine = this.options.clusterState.machines.get(machineId);
+		if (!machine) return refusedResponse;
+		const { agent } = machine;
+		agent.outdatedResponseSent();
+		const latestSequence = agent.sequence;
+		this.options.log.debug({ machineId, sequence, latestSequence }, "outdated heartbeat answered");
+		return Promise.resolve(stopCommandsFor(machine));
 	}
 
 	/** Returns the commands for a response sent now, which may renew the lease; null: this process may not respond. */
--- a/src/coordination/workers/worker-commands.ts
+++ b/src/coordination/workers/worker-commands.ts
@@ -16,15 +16,24 @@
 export function issueCommands(clusterState: ClusterState, machine: Machine): WorkerCommand[] {
 	const commands: WorkerCommand[] = [];
 	addForgetCommands(clusterState, machine, commands);
+	commands.push(...stopCommandsFor(machine));
+	for (const attempt of [...machine.attempts.values()])
+		if (attempt.phase === "assigned" && markSentOrEnd(clusterState, attempt))
+			commands.push(startCommandFor(attempt));
+	return commands;
+}
+
+/**
+ * Returns the commands that stop the machine's orphaned tasks, and its attempts that are to end. Every response that may
+ * renew a worker's lease contains them: otherwise a task of a cancelled job could run on for as long as that lease.
+ */
+export function stopCommandsFor(machine: Machine): StopCommand[] {
+	const commands: StopCommand[] = [];
 	for (const { jobId, taskIndex, attempt } of machine.orphans)
 		commands.push({ kind: "stop", jobId, taskIndex, attempt, graceS: 0 });
-	const starts: WorkerCommand[] = [];
-	for (const attempt of [...machine.attempts.values()]) {
-		if (attempt.phase === "assigned") {
-			if (markSentOrEnd(clusterState, attempt)) starts.push(startCommandFor(attempt));
-		} else if (attempt.stopRequest !== null) commands.push(stopCommandFor(attempt));
-	}
-	return [...commands, ...starts];
+	for (const attempt of machine.attempts.values())
+		if (attempt.phase !== "assigned" && attempt.stopRequest !== null) commands.push(stopCommandFor(attempt));
+	return commands;
 }
 
 /**
--- a/tests/coordination/workers/heartbeat-service.test.ts
+++ b/tests/coordination/workers/heartbeat-service.test.ts
@@ -234,6 +234,25 @@
 		assert.equal(machine.agent.lastResponseAt, probedAtMs);
 	});
 
+	// Else a task of a cancelled job runs on for the lease that the response renews, which may end after cancel_s.
+	test("contains the stops of tasks that are to end, and no start", async () => {
+		const setup = new Setup();
+		setup.clusterState.addMachine(recordedMachine());
+		await setup.clock.advance(probedAtMs);
+		const running = [taskStatus(0, 7, "running"), { ...taskStatus(3, 8, "running"), jobId: "j-9" }];
+		setup.service.reconcile(heartbeat(11, running));
+		const machine = setup.clusterState.machines.get("n-1");
+		assert.ok(machine);
+		machine.attempts.get("j-1/0")?.requestStop("job ended", 0);
+		const crossed = setup.handle(heartbeat(10, running, { fencingToken: term - 1 }));
+		await setup.clock.advance(1);
+		const stop = { kind: "stop", graceS: 0 };
+		assert.deepEqual(crossed.commands, [
+			{ ...stop, jobId: "j-9", taskIndex: 3, attempt: 8 },
+			{ ...stop, jobId: "j-1", taskIndex: 0, attempt: 7 },
+		]);
+	});
+
 	test("renews nothing if only the probe has been answered", async () => {
 		const setup = new Setup();
 		setup.clusterState.addMachine(recordedMachine());
