--- a/tests/support/random-failures.ts
+++ b/tests/support/random-failures.ts
@@ -39,6 +39,7 @@
 const delayedMessageShare = 0.4;
 const lostMessageShare = 0.02;
 const hangCheckMs = 50;
+const leaderCheckMs = 5;
 /** Part of the steps in which a job is submitted, and in which one is cancelled. */
 const submissionShare = 0.3;
 const cancellationShare = 0.12;
@@ -74,6 +75,7 @@
 		for (let i = 0; i < 3; i++) await this.submit();
 		await world.time.advance(3 * settleMs);
 		world.network.faultFor = (from, to, method) => this.linkFault(from, to, method);
+		this.watchForNewLeader(0);
 		const end = world.time.now() + failuresMs;
 		while (world.time.now() < end) {
 			if (random.chance(submissionShare)) await this.submit();
@@ -89,6 +91,14 @@
 		await world.time.advance(settleMs);
 	}
 
+	/** Delivers the copies kept for the next leader as soon as a term begins, before the machines report to it. */
+	private watchForNewLeader(latestTerm: number): void {
+		const terms = nodeNames.map((node) => (this.world.isUp(node) ? this.world.termOf(node) : 0));
+		const term = Math.max(latestTerm, ...terms);
+		if (term > latestTerm && latestTerm > 0) this.run.copies?.newLeaderBegins();
+		this.world.time.after(leaderCheckMs, () => this.watchForNewLeader(term));
+	}
+
 	/** Delays or loses some of the messages between workers and controllers, so that they cross each other. */
 	private linkFault(from: string, to: string, method: string): LinkFault {
 		const { world, random } = this;
@@ -107,8 +117,8 @@
 			id,
 			pieces: random.between(1, 4),
 			cores: random.between(1, 2),
-			desk: random.pick(["red", "blue"]) as string,
-			urgency: random.pick(["normal", "urgent"]) as string,
+			desk: random.pick(["red", "blue", "guest"]) as string,
+			urgency: random.pick(["best_effort", "normal", "urgent", "critical"]) as string,
 			run_s: random.chance(0.5) ? random.between(1, 3) : random.between(4, maxTaskS),
 		});
 		if (response.status !== 200 && response.status !== 201) return;
@@ -138,6 +148,7 @@
 		"machine isolated": () => this.isolate("partitioned", this.random.between(100, 14_000)),
 		"responses lost": () => this.isolate("inboundDropped", this.random.between(100, 12_000)),
 		"heartbeats lost": () => this.isolate("heartbeatsDropped", this.random.between(100, 12_000)),
+		"machine reclaimed": () => this.reclaim(),
 		"machine ends": () => {
 			if (this.random.chance(0.3)) this.pickWorker()?.terminate();
 		},
@@ -216,6 +227,20 @@
 		});
 	}
 
+	/** Announces that the machine will be taken away; at times it is kept after all. */
+	private reclaim(): void {
+		const worker = this.pickWorker();
+		if (!worker || worker.reclaimAt !== null) return;
+		const { time, cloud } = this.world;
+		const noticeMs = this.random.between(1500, 8000);
+		worker.reclaimAt = time.now() + noticeMs;
+		const withdrawn = this.random.chance(0.5);
+		time.after(noticeMs, () => {
+			if (withdrawn) worker.reclaimAt = null;
+			else cloud.remove(worker.host);
+		});
+	}
+
 	private pickWorker(): FakeWorker | undefined {
 		return this.random.pick([...this.world.workers.values()].filter(({ terminated }) => !terminated));
 	}
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -308,6 +308,16 @@
 		return process.controller;
 	}
 
+	/** True if the node has a process. */
+	isUp(node: string): boolean {
+		return this.processes.has(node);
+	}
+
+	/** Returns the term in which the node's process leads; 0: it does not lead. */
+	termOf(node: string): number {
+		return Number(this.controllerOf(node).clusterState?.term ?? 0);
+	}
+
 	ready(node: string): boolean {
 		return this.processes.get(node)?.controller.ready() ?? false;
 	}
@@ -358,9 +368,7 @@
 		for (const seconds of this.duplicateHeartbeatsAfterS)
 			this.time.after(seconds * 1000, () => this.deliverHeartbeatCopy(node, sentBody));
 		this.lateCopies?.consider("heartbeat", () => this.deliverHeartbeatCopy(node, sentBody));
-		this.lateCopies?.consider("heartbeat", () =>
-			this.deliverHeartbeatCopy(this.leaderNode() ?? node, sentBody),
-		);
+		this.lateCopies?.keepForNextLeader(() => this.deliverHeartbeatCopy(this.leaderNode() ?? node, sentBody));
 		return new Promise<HttpResponse | undefined>((resolve) => {
 			this.time.after(4000, () => resolve(undefined));
 			const process = this.processes.get(node);
