--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -20,6 +20,7 @@
 import { FakeTime } from "./fake-time.js";
 import type { CopiedMessage, LateCopies } from "./late-copies.js";
 import { FakeNetwork, type Handler } from "./network.js";
+import { RunningTasks, type TrackedJob } from "./running-tasks.js";
 import { StateService } from "./state-service.js";
 import { type PeerMessageOnWire, UnnamedProcess } from "./unnamed-process.js";
 import { FakeWorker, type WorkerEnvironment } from "./worker.js";
@@ -28,7 +29,6 @@
 	nodeNames,
 	type PlatformOverrides,
 	platformSettingsText,
-	teamCpuLimits,
 } from "./world-settings.js";
 
 export interface JobBody {
@@ -59,15 +59,6 @@
 	error?: string;
 }
 
-/** A submitted job, as the invariant checks track it. */
-interface TrackedJob {
-	body: Record<string, unknown> & { pieces: number; cores: number };
-	runS: number | number[];
-	failsOnTypes: string[];
-	cancelledAt: number | null;
-	reportedStatuses: Set<string>;
-}
-
 /**
  * Controllers, three by default, in fake time between stand-ins for workers, state service, cloud, network and users.
  * Violations of the invariants are recorded: duplicate starts, wrong placement, exceeded limits, lost jobs.
@@ -81,11 +72,8 @@
 	readonly jobs = new Map<string, TrackedJob>();
 	/** Violated invariants, in order. */
 	readonly violations: string[] = [];
-	/** Machines on which each task was started, in order. */
-	readonly starts = new Map<string, string[]>();
 	readonly logs: string[] = [];
-	private readonly machineByTask = new Map<string, string>();
-	private readonly doneTasks = new Set<string>();
+	private readonly tasks = new RunningTasks(this);
 	private readonly processes = new Map<string, ControllerProcess>();
 	private readonly peerIsolatedNodes = new Set<string>();
 	private incarnation = 0;
@@ -99,8 +87,6 @@
 	/** True if workers' connections to a process that ends are reset; false: they hang until the worker times out. */
 	connectionsResetOnCrash = false;
 
-	/** Time since which a job waits although one of its tasks could start and no fault is active. */
-	private readonly waitingSince = new Map<string, number>();
 	/** True while the trace player injects link faults; no stand-in records these. */
 	linkFaultsActive = false;
 	/** Changed CPU limits of teams, which replace those of the settings. */
@@ -148,6 +134,11 @@
 		this.checkWaitingPeriodically();
 	}
 
+	/** Machines on which each task was started, in order. */
+	get starts(): ReadonlyMap<string, string[]> {
+		return this.tasks.starts;
+	}
+
 	/** The attempts that workers have started, in order. */
 	readonly startedAttempts: { task: string; attempt: Uint64 }[] = [];
 
@@ -170,8 +161,8 @@
 		},
 		failsTask: (worker, task) =>
 			this.jobs.get(task.split("/")[0] as string)?.failsOnTypes.includes(worker.machineType) ?? false,
-		taskStarted: (worker, task) => this.recordStart(worker, task),
-		taskEnded: (worker, task) => this.recordEnd(worker, task),
+		taskStarted: (worker, task) => this.tasks.recordStart(worker, task),
+		taskEnded: (worker, task) => this.tasks.recordEnd(worker, task),
 		sendHeartbeat: (worker, node, body) => this.sendHeartbeat(worker, node, body),
 	};
 
@@ -432,44 +423,17 @@
 	}
 
 	workerOf(task: string): FakeWorker {
-		const worker = this.workers.get(this.machineByTask.get(task) ?? "");
+		const worker = this.workers.get(this.tasks.machineOf(task) ?? "");
 		if (!worker) throw new Error(`${task} is on no machine`);
 		return worker;
 	}
 
 	isRunning(task: string): boolean {
-		return this.machineByTask.has(task);
-	}
-
-	private recordStart(worker: FakeWorker, task: string): void {
-		const id = task.split("/")[0] as string;
-		const job = this.jobs.get(id);
-		this.starts.set(task, [...(this.starts.get(task) ?? []), worker.host]);
-		if (!job) return void this.violations.push(`${task} started, but ${id} was not submitted`);
-		const runningOn = this.machineByTask.get(task);
-		if (runningOn !== undefined)
-			this.violations.push(`ran_twice: ${task} on ${worker.host} while on ${runningOn}`);
-		const { body } = job;
-		if (Array.isArray(body.shapes) && !body.shapes.includes(worker.machineType))
-			this.violations.push(`wrong_place: ${task} type`);
-		if (typeof body.hall === "string" && body.hall !== worker.zone)
-			this.violations.push(`wrong_place: ${task} zone`);
-		if (worker.spot && body.loaners !== true) this.violations.push(`wrong_place: ${task} kind`);
-		if (job.cancelledAt !== null && this.time.now() - job.cancelledAt > 37_000) {
-			this.violations.push(`ran_cancelled: ${task}`);
-		}
-		this.machineByTask.set(task, worker.host);
-		this.checkZones(id, body);
-		this.checkQuota(String(body.desk));
+		return this.tasks.machineOf(task) !== undefined;
 	}
 
-	/**
-	 * Checks that without active faults no job waits for 90 s while a suitable machine has capacity and its team is
-	 * under its limit. The state of the stand-in machines counts, not the leader's record of them.
-	 */
 	private checkWaitingPeriodically(): void {
 		this.time.after(1000, () => {
-			const now = this.time.now();
 			const faultsActive =
 				this.linkFaultsActive ||
 				this.state.outage ||
@@ -477,111 +441,19 @@
 				this.cloud.outage ||
 				this.peerIsolatedNodes.size > 0 ||
 				this.processes.size === 0;
-			for (const [id, job] of this.jobs) {
-				if (faultsActive || !this.canStart(id, job)) this.waitingSince.delete(id);
-				else if (!this.waitingSince.has(id)) this.waitingSince.set(id, now);
-				else if (now - (this.waitingSince.get(id) as number) > 90_000) {
-					this.waitingSince.delete(id);
-					this.violations.push(`waited: ${id} for 90 s, although a machine has capacity`);
-				}
-			}
+			this.tasks.checkWaiting(faultsActive);
 			this.checkWaitingPeriodically();
 		});
 	}
 
-	/** True if no task of the array job (or not every replica of the service job) runs, although a machine could run one. */
-	private canStart(id: string, { body, reportedStatuses, cancelledAt }: TrackedJob): boolean {
-		if (reportedStatuses.size === 0 || cancelledAt !== null) return false;
-		const tasks = Array.from({ length: body.pieces }, (_, i) => `${id}/${i}`);
-		if (body.form !== "standing" && tasks.some((task) => this.machineByTask.has(task))) return false;
-		if (tasks.every((task) => this.machineByTask.has(task) || this.doneTasks.has(task))) return false;
-		const used = this.cpusInUse();
-		const teamCpus = used.byTeam.get(String(body.desk)) ?? 0;
-		if (teamCpus + body.cores > (teamCpuLimits[String(body.desk)] ?? 0)) return false;
-		return [...this.workers].some(([host, worker]) => {
-			const cores = this.cloud.types.find((t) => t.sku === worker.machineType)?.cores ?? 0;
-			const fits = (used.byMachine.get(host) ?? 0) + body.cores <= cores;
-			return fits && this.isUsable(host, worker) && this.meetsConstraints(id, body, worker);
-		});
-	}
-
-	private cpusInUse(): { byMachine: Map<string, number>; byTeam: Map<string, number> } {
-		const byMachine = new Map<string, number>();
-		const byTeam = new Map<string, number>();
-		for (const [task, host] of this.machineByTask) {
-			const body = this.jobs.get(task.split("/")[0] as string)?.body;
-			if (!body) continue;
-			byMachine.set(host, (byMachine.get(host) ?? 0) + body.cores);
-			byTeam.set(String(body.desk), (byTeam.get(String(body.desk)) ?? 0) + body.cores);
-		}
-		return { byMachine, byTeam };
-	}
-
-	private isUsable(host: string, worker: FakeWorker): boolean {
-		return worker.healthy && worker.reclaimAt === null && this.cloud.hosts.has(host);
-	}
-
-	private meetsConstraints(id: string, body: TrackedJob["body"], worker: FakeWorker): boolean {
-		const taskCounts = this.taskCountByZone(id);
-		const hasTasksInOtherZone = [...taskCounts.keys()].some((zone) => zone !== worker.zone);
-		return (
-			(!Array.isArray(body.shapes) || body.shapes.includes(worker.machineType)) &&
-			(typeof body.hall !== "string" || body.hall === worker.zone) &&
-			(body.loaners === true || !worker.spot) &&
-			!(body.one_zone === true && hasTasksInOtherZone) &&
-			!(body.spread === true && (taskCounts.get(worker.zone) ?? 0) >= Math.ceil(body.pieces / 2))
-		);
-	}
-
-	/** Returns the number of running tasks of the job by zone. */
-	private taskCountByZone(id: string): Map<string, number> {
-		const counts = new Map<string, number>();
-		for (const [task, host] of this.machineByTask) {
-			if (!task.startsWith(`${id}/`)) continue;
-			const zone = this.workers.get(host)?.zone ?? "?";
-			counts.set(zone, (counts.get(zone) ?? 0) + 1);
-		}
-		return counts;
-	}
-
-	private checkZones(id: string, body: TrackedJob["body"]): void {
-		const taskCounts = this.taskCountByZone(id);
-		if (body.one_zone === true && taskCounts.size > 1)
-			this.violations.push(`wrong_place: ${id} in two zones`);
-		const maxInZone = Math.max(...taskCounts.values());
-		if (body.spread === true && maxInZone > Math.ceil(body.pieces / 2))
-			this.violations.push(`wrong_place: ${id} not spread`);
-	}
-
-	private checkQuota(team: string): void {
-		let usedCpus = 0;
-		for (const task of this.machineByTask.keys()) {
-			const body = this.jobs.get(task.split("/")[0] as string)?.body;
-			if (body?.desk === team) usedCpus += body.cores;
-		}
-		if (usedCpus > (this.teamLimitOverrides.get(team) ?? teamCpuLimits[team] ?? 0) + 1e-9)
-			this.violations.push(`quota: ${team} uses ${usedCpus}`);
+	/** Checks that no task of a job runs 37 s (`cancel_s`) after its cancellation; also called at the end of a trace. */
+	checkCancelled(): void {
+		this.tasks.checkCancelled();
 	}
 
 	/** Returns the number of running tasks of the job. */
 	runningTaskCount(job: string): number {
-		return [...this.machineByTask.keys()].filter((task) => task.startsWith(`${job}/`)).length;
-	}
-
-	private recordEnd(worker: FakeWorker, task: string): void {
-		if (this.machineByTask.get(task) === worker.host) this.machineByTask.delete(task);
-		const reported = worker.heartbeatBody().pieces as { piece: string; cause?: string }[];
-		if (reported.some((p) => p.piece === task && p.cause === "done")) this.doneTasks.add(task);
-	}
-
-	/** Checks that no task of a job runs 37 s (`cancel_s`) after its cancellation; also called at the end of a trace. */
-	checkCancelled(): void {
-		for (const task of this.machineByTask.keys()) {
-			const job = this.jobs.get(task.split("/")[0] as string);
-			if (job?.cancelledAt != null && this.time.now() - job.cancelledAt > 37_000) {
-				this.violations.push(`ran_cancelled: ${task} still runs`);
-			}
-		}
+		return this.tasks.runningTaskCount(job);
 	}
 
 	private recordCancellation(job: TrackedJob): void {
@@ -721,7 +593,7 @@
 		if (status === "cancelled") this.recordCancellation(job);
 		if (status !== "done") return;
 		for (let i = 0; i < job.body.pieces; i++) {
-			if (!this.doneTasks.has(`${id}/${i}`)) this.violations.push(`not_done: ${id}/${i}`);
+			if (!this.tasks.isDone(`${id}/${i}`)) this.violations.push(`not_done: ${id}/${i}`);
 		}
 	}
 }
