--- a/packages/team-quota/src/advance-record.ts
+++ b/packages/team-quota/src/advance-record.ts
@@ -30,6 +30,7 @@
 	requested: Amount;
 }
 
+/** The record of a team and the state by which it advances. */
 export interface AdvanceInput {
 	record: QuotaRecord;
 	/** The team's limits in the platform's current settings. */
--- a/packages/team-quota/src/allotment-writer.ts
+++ b/packages/team-quota/src/allotment-writer.ts
@@ -12,11 +12,13 @@
 } from "./stored-values.js";
 import type { Uint64 } from "./uint64.js";
 
+/** The log of the process. */
 export interface QuotaLog {
 	info(fields: object, message: string): void;
 	error(fields: object, message: string): void;
 }
 
+/** Dependencies of the writer of allotments. */
 export interface AllotmentWriterOptions {
 	values: StoredValues;
 	store: QuotaStore;
--- a/packages/team-quota/src/amount.ts
+++ b/packages/team-quota/src/amount.ts
@@ -17,6 +17,7 @@
 /** Absorbs the floating-point error of sizes such as 0.1 + 0.2, in thousandths. */
 const roundingTolerance = 1e-6;
 
+/** No CPUs and no accelerators. */
 export const zeroAmount: Amount = { cpus: 0, gpus: 0 };
 
 const DimensionSchema = v.pipe(
@@ -26,6 +27,7 @@
 	v.maxValue(unlimited, "must not be above the largest limit"),
 );
 
+/** The form of an amount in messages and stored values. */
 export const AmountSchema = v.object({ cpus: DimensionSchema, gpus: DimensionSchema });
 
 function thousandths(units: number, round: (value: number) => number): number {
@@ -61,20 +63,28 @@
 	return { cpus: combineDimension(a.cpus, b.cpus), gpus: combineDimension(a.gpus, b.gpus) };
 }
 
+/** Adds each dimension. */
 export const addAmounts = (a: Amount, b: Amount): Amount => combineAmounts(a, b, (x, y) => x + y);
 /** Subtracts each dimension; the result is never below zero. */
 export const subtractAmounts = (a: Amount, b: Amount): Amount =>
 	combineAmounts(a, b, (x, y) => Math.max(0, x - y));
+/** Returns the smaller value of each dimension. */
 export const minAmount = (a: Amount, b: Amount): Amount => combineAmounts(a, b, Math.min);
+/** Returns the larger value of each dimension. */
 export const maxAmount = (a: Amount, b: Amount): Amount => combineAmounts(a, b, Math.max);
+/** Multiplies each dimension by a count. */
 export const multiplyAmount = (a: Amount, count: number): Amount => ({
 	cpus: a.cpus * count,
 	gpus: a.gpus * count,
 });
+/** True if neither dimension of the first amount exceeds that of the second. */
 export const fitsWithin = (a: Amount, b: Amount): boolean => a.cpus <= b.cpus && a.gpus <= b.gpus;
+/** True if both dimensions are equal. */
 export const sameAmount = (a: Amount, b: Amount): boolean => a.cpus === b.cpus && a.gpus === b.gpus;
+/** True if both dimensions are zero. */
 export const isZeroAmount = (a: Amount): boolean => a.cpus === 0 && a.gpus === 0;
 
+/** Returns the sum of the amounts in each dimension. */
 export function sumAmounts(amounts: Iterable<Amount>): Amount {
 	let total = zeroAmount;
 	for (const amount of amounts) total = addAmounts(total, amount);
--- a/packages/team-quota/src/charge-verification.ts
+++ b/packages/team-quota/src/charge-verification.ts
@@ -16,6 +16,7 @@
 	found?: Amount;
 }
 
+/** The record of a team, and what its tasks use by the charges and by an independent count. */
 export interface VerificationInput {
 	record: QuotaRecord;
 	/** Every node of the cluster. */
--- a/packages/team-quota/src/commands.ts
+++ b/packages/team-quota/src/commands.ts
@@ -30,6 +30,7 @@
 	reason: string | null;
 }
 
+/** A team in the output of `quota show`; amounts in CPUs and accelerators. */
 export interface ShownTeam extends ShownLimitAndGuarantee {
 	team: string;
 	revision: number;
@@ -82,6 +83,7 @@
 	};
 }
 
+/** The output of `quota show`. */
 export interface ShownQuotas {
 	teams: ShownTeam[];
 	/** Records that cannot be read. */
--- a/packages/team-quota/src/holder-messages.ts
+++ b/packages/team-quota/src/holder-messages.ts
@@ -87,7 +87,8 @@
 	return result.success ? result.output : null;
 }
 
-/** Both return null for a malformed message. */
+/** Decodes an update of the leader; null: it is malformed. */
 export const parseAllotmentUpdate = (raw: unknown): AllotmentUpdate | null =>
 	parseAs(AllotmentUpdateSchema, raw);
+/** Decodes a reply of a holder; null: it is malformed. */
 export const parseReply = (raw: unknown): HolderReply | null => parseAs(HolderReplySchema, raw);
--- a/packages/team-quota/src/holder-registry.ts
+++ b/packages/team-quota/src/holder-registry.ts
@@ -26,6 +26,7 @@
 	readonly capChangedInMessage: Map<string, number>;
 }
 
+/** The leader that the registry belongs to, and its bounds. */
 export interface HolderRegistryOptions {
 	/** The leader's process. */
 	incarnation: string;
--- a/packages/team-quota/src/holder.ts
+++ b/packages/team-quota/src/holder.ts
@@ -19,6 +19,7 @@
 /** Maximum relative drift between the monotonic clocks of two machines. */
 export const maxClockDriftFraction = 0.001;
 
+/** Why a holder admits no task. */
 export type RefusalReason =
 	/** The team's tasks use the whole limit. */
 	| "team at its limit"
@@ -27,10 +28,12 @@
 	/** The leader has not echoed a recent reply of this controller. */
 	| "allotment expired";
 
+/** A holder's decision on a request to start tasks. */
 export type Admission =
 	| { kind: "admitted"; count: number }
 	| { kind: "refused"; reason: RefusalReason; retryAfterMs: number };
 
+/** Dependencies and bounds of a holder. */
 export interface HolderOptions {
 	/** This process. */
 	incarnation: string;
--- a/packages/team-quota/src/manager.ts
+++ b/packages/team-quota/src/manager.ts
@@ -20,6 +20,7 @@
 import { RevocationsInProgress } from "./revocations.js";
 import type { Uint64 } from "./uint64.js";
 
+/** Dependencies of the manager of one term. */
 export interface AllotmentManagerOptions
 	extends Omit<AllotmentWriterOptions, "onRecordsChanged" | "onAllotmentResized"> {
 	/** The leader's node, which holds allotments like any other node, and the incarnation of this process. */
--- a/packages/team-quota/src/packed-record.ts
+++ b/packages/team-quota/src/packed-record.ts
@@ -127,6 +127,7 @@
 	});
 }
 
+/** Returns the stored form of the records that share a value. */
 export function packValue(records: Iterable<QuotaRecord>): PackedQuotaValue {
 	return { teams: Object.fromEntries([...records].map((record) => [record.team, packRecord(record)])) };
 }
--- a/packages/team-quota/src/record.ts
+++ b/packages/team-quota/src/record.ts
@@ -32,6 +32,7 @@
 	reason: RecallReason | null;
 }
 
+/** The limit of a team, and the part of it that it can always use. */
 export interface LimitAndGuarantee {
 	limit: Amount;
 	guarantee: Amount;
@@ -121,14 +122,17 @@
 	return record;
 }
 
+/** Returns the first record of a team, by which nothing is allotted. */
 export function newRecord(team: string, settings: LimitAndGuarantee): QuotaRecord {
 	return assertInvariants({ team, revision: 1, inForce: settings, settings, pending: null, allotments: [] });
 }
 
+/** Returns the sum of all allotments of the team. */
 export function totalAllotted(record: QuotaRecord): Amount {
 	return sumAmounts(record.allotments.map((allotment) => allotment.amount));
 }
 
+/** Returns the allotment of the node; undefined: it has none. */
 export function allotmentOf(record: QuotaRecord, node: string): Allotment | undefined {
 	return record.allotments.find((allotment) => allotment.node === node);
 }
@@ -151,6 +155,7 @@
 	return subtractAmounts(ceiling(record), totalAllotted(record));
 }
 
+/** True if both the limits and the guarantees are equal. */
 export function sameLimitAndGuarantee(a: LimitAndGuarantee, b: LimitAndGuarantee): boolean {
 	return sameAmount(a.limit, b.limit) && sameAmount(a.guarantee, b.guarantee);
 }
